--- /dev/null
+++ b/tealsail/__init__.py
@@ -0,0 +1,1 @@
+"""tealsail: a front tier that watches over software updates."""
--- /dev/null
+++ b/tealsail/adapter/__main__.py
@@ -0,0 +1,6 @@
+"""python -m tealsail.adapter: the wire on standard input and output."""
+import sys
+
+from .frames import serve
+
+sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr))
