--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -81,17 +81,14 @@
         self.payoff: float = facts.get("payoff", 1)
         self.late_payoff: float = facts.get("late_payoff", 0)
         self.mean, self.deviation = self.promised / 5, self.promised / 10
-        self.recent = float(self.mean)           # mean latency of the latest shots, time-outs included
 
     def saw(self, latency: int, served: bool) -> None:
-        self.recent += 0.1 * (latency - self.recent)
-        if served:
-            self.deviation += 0.05 * (abs(latency - self.mean) - self.deviation)
-            self.mean += 0.05 * (latency - self.mean)
+        self.deviation += 0.05 * (abs(latency - self.mean) - self.deviation)
+        self.mean += 0.05 * (latency - self.mean)
 
     def patience(self) -> int:
         """After this an answer is late for its kind: mean and four deviations, bounded by the promise."""
-        return int(min(max(self.mean + 4 * self.deviation, self.promised / 4), 0.6 * self.promised))
+        return int(min(max(self.mean + 3 * self.deviation, self.promised / 4), 0.75 * self.promised))
 
     def bucket(self, latency: int) -> int:
         return sum(latency > edge * self.promised for edge in EDGES)
@@ -208,11 +205,22 @@
             self.relay.host.forfeit(invocation.number)
 
     def overdue(self, invocation: Invocation) -> None:
-        """A second copy beside one that is late for its kind, where copies are allowed."""
-        if not invocation.over and invocation.out() == 1 and self.purse >= 1:
-            self.purse -= 1
-            invocation.hedge = True
-            self.next.forward(invocation)
+        """A shot later than its kind: where its unit has answered nothing since, it is called off for another;
+        where copies are allowed one is sent beside it."""
+        if invocation.over or invocation.out() != 1:
+            return
+        place, shot = next((place, shot) for place, shot in enumerate(invocation.shots) if not shot.ended)
+        silent = shot.unit.waiting <= shot.sent
+        if self.relay.facts.get("two_shots"):
+            if self.purse >= 1 and (silent or self.relay.admission.out() < 0.7 * self.relay.admission.limit):
+                self.purse -= 1
+                invocation.hedge = True
+                self.next.forward(invocation)
+        elif silent and self.relay.facts.get("may_cancel") and self.relay.now < invocation.give_up:
+            self.relay.host.cancel(invocation.number, place)
+        else:
+            self.relay.host.wake(self.relay.now + invocation.workload.patience() // 2,
+                                 self.relay.WAKE_LATE + invocation.number)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         invocation = shot.invocation
@@ -243,29 +251,36 @@
 
 
 class Admission(Stage):
-    """Rejects early what can no longer be answered in time: in overload a growing part of what comes, first of
-    all from customers beyond their share."""
-    EASY, FULL = 0.6, 1.3                        # of the promised time: where rejecting starts and ends
+    """Keeps queues short enough for answers in time: a limit on this relay's shots out there, which falls with
+    each late answer and rises with those in time.  What finds no room is held a moment, then rejected; the less
+    an invocation pays for its time, and the further its customer is over its share, the less of the limit."""
+    LATE = 0.6                                   # of the promised time
+    RISE = 0.12                                  # for each answer in time; a late one costs 1
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
+        self.limit = 40.0
         self.taken = Ring(2 * SECOND)
         self.by_customer = [Ring(2 * SECOND) for _ in relay.facts.get("customers", [])]
 
     def forward(self, invocation: Invocation) -> bool:
-        relay = self.relay
-        if not invocation.shots and not invocation.held_until:
-            self.taken.add(relay.now)
-            if invocation.customer < len(self.by_customer):
-                self.by_customer[invocation.customer].add(relay.now)
-            workload = invocation.workload
-            pressure = workload.recent * self.greed(invocation) / workload.promised
-            if relay.chance.share() < min(0.9, (pressure - self.EASY) / (self.FULL - self.EASY)):
-                workload.recent *= 0.995         # with nothing sent, nothing else would tell of an end
-                relay.intake.end(invocation)
-                return True
+        if not invocation.shots:
+            if not invocation.held_until:
+                self.taken.add(self.relay.now)
+                if invocation.customer < len(self.by_customer):
+                    self.by_customer[invocation.customer].add(self.relay.now)
+            if self.out() + 1 > self.limit * self.part(invocation):
+                return False
         return self.next.forward(invocation)
 
+    def out(self) -> int:
+        return sum(unit.out for unit in self.relay.units.values() if self.relay.choice.fit(unit))
+
+    def part(self, invocation: Invocation) -> float:
+        best = max(workload.payoff / workload.mean for workload in self.relay.workloads)
+        part = 1.0 if invocation.workload.payoff / invocation.workload.mean > 0.7 * best else 0.85
+        return part / self.greed(invocation)
+
     def greed(self, invocation: Invocation) -> float:
         """How far the invocation's customer is over its share of what this relay takes."""
         if invocation.customer >= len(self.by_customer):
@@ -274,11 +289,18 @@
         all_taken = self.taken.total(self.relay.now)
         if all_taken < 20:
             return 1.0
-        return min(2.0, max(1.0, self.by_customer[invocation.customer].total(self.relay.now) / all_taken / share / 1.3))
+        mine = self.by_customer[invocation.customer].total(self.relay.now)
+        return min(2.0, max(1.0, mine / all_taken / share / 1.3))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
-        if outcome in ("served", "timeout"):
-            shot.invocation.workload.saw(latency, outcome == "served")
+        workload, work = shot.invocation.workload, self.relay.gate.work(shot.invocation)
+        if outcome == "full" or (outcome in ("served", "timeout") and shot.unit.waiting >= shot.sent):
+            if outcome == "full" or latency / max(1.0, work) > self.LATE * workload.promised:
+                self.limit = max(3.0, self.limit - 1)
+            elif self.out() > 0.6 * self.limit:
+                self.limit += self.RISE
+        if outcome in ("served", "timeout", "cancelled"):
+            workload.saw(int(latency / max(1.0, work)), outcome == "served")
         super().backward(shot, outcome, latency)
 
 
@@ -457,10 +479,12 @@
         may_follow = (invocation.workload.effect == "harmless" and left > 2 * patience
                       and len(invocation.shots) < relay.facts.get("most_shots", 1))
         if relay.facts.get("two_shots"):
-            if may_follow and not invocation.hedge:
-                relay.host.wake(relay.now + patience, relay.WAKE_LATE + invocation.number)
-            return left
-        return patience if may_follow else left
+            may_follow = may_follow and not invocation.hedge
+        elif not relay.facts.get("may_cancel"):
+            return 2 * patience if may_follow else left
+        if may_follow:
+            relay.host.wake(relay.now + patience, relay.WAKE_LATE + invocation.number)
+        return left
 
     # No invocation is lost, and nothing is sent for one that is over.
     def answerable(self, invocation: Invocation) -> bool:
@@ -694,6 +718,8 @@
         recent = [max(0, new - past) for new, past in zip(pooled, old)] if old else pooled
         size = len(pooled) // 2
         recent[size:] = pooled[size:]            # the baseline is remembered: later no earlier unit is left
+        if self.verdict != BACK:
+            self.why = " | ".join(f"{c} / {b}" for c, b in self.rows(pooled))
         if self.fails(pooled) or self.fails(recent):
             self.verdict = BACK
         elif self.verdict == 0 and relay.phase == ON_TRIAL and relay.now >= self.due():
@@ -716,7 +742,7 @@
             return
         self.busy_until = now + relay.facts.get("vote_wait", SECOND) + SECOND // 10
         self.voted = verdict
-        relay.host.log(f"vote {verdict} on build {relay.build} stage {relay.stage}")
+        relay.host.log(f"vote {verdict} on build {relay.build} stage {relay.stage}: {self.why}")
         relay.host.vote(relay.build, relay.stage, verdict)
 
     def answered(self, answer: str) -> None:
@@ -860,7 +886,8 @@
         self.judge.answered(answer)
 
     def on_stage(self, build: int, stage: int, phase: int, cap: float, age: int) -> None:
-        self.host.log(f"stage: build {build} stage {stage} phase {phase} cap {cap} age {age}")
+        if (build, stage, phase, cap) != (self.build, self.stage, self.phase, self.told_cap):
+            self.host.log(f"stage: build {build} stage {stage} phase {phase} cap {cap} age {age}")
         if build != self.build:
             self.trial.new_build(build)
             self.judge.new_build(build)
