--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -16,11 +16,13 @@
 NEVER_RAN = {"full", "unreachable", "moot"}      # outcomes that prove that a shot was not run
 # the groups: a latency bucket's edge is this part of the promised time; failures rank as a ninth bucket
 EDGES = (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
+GROUPS = ("canary", "baseline", "before")
 ROW = 2 + len(EDGES) + 1                         # served, failed, histogram
 TRIAL_PART = 0.9                                 # of the allowance; the rest is kept for further shots
 JUDGES = 3
 EARLY_MARGIN, EARLY_EXCESS = 0.05, 3.0           # back early: failures over the baseline's share
 SLOWER, REJECT_AT, LEAST = 1.25, 0.01, 20        # the rank test at the horizon
+ALL_SLOWER = 1.5                                 # the baseline over the time before the trial
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (clock: about 1 s after it)
 LAUNCH = 8 * SECOND                              # a stage's units have started by then at the latest
 PATIENCE = 5 * SECOND                            # how long past the horizon thin evidence is waited out
@@ -312,11 +314,17 @@
         super().__init__(relay)
         self.groups: dict[str, list[int]] = {}
         self.build = -1
+        self.lately = [0.0] * ROW * len(relay.workloads)
         self.owed = 0.0                          # baseline shots that the canary group is ahead
 
     def new_build(self, build: int) -> None:
         self.build, self.owed = build, 0.0
         self.groups = {name: [0] * ROW * len(self.relay.workloads) for name in ("canary", "baseline")}
+        self.groups["before"] = [int(count) for count in self.lately]
+
+    def forget(self) -> None:
+        """While nothing is on trial the latest seconds are kept: the time before the next build."""
+        self.lately = [0.85 * count for count in self.lately]
 
     def forward(self, invocation: Invocation) -> bool:
         relay, now = self.relay, self.relay.now
@@ -353,6 +361,8 @@
                     counts[row + 2 + shot.invocation.workload.bucket(latency)] += 1
             elif outcome == "error" and not self.relay.choice.stands_out(shot.unit):
                 counts[row + 1] += 1
+        if outcome == "served" and not shot.cold and not self.relay.on_trial(shot.unit.build):
+            self.lately[shot.invocation.workload.place * ROW + 2 + shot.invocation.workload.bucket(latency)] += 1
         super().backward(shot, outcome, latency)
 
     def flagged(self, unit: Unit, workload: Workload) -> None:
@@ -635,7 +645,7 @@
         rows = len(relay.workloads)
         for first in range(0, rows, 4):
             many = min(4, rows - first)
-            counts = [min(65535, count) for name in ("canary", "baseline")
+            counts = [min(65535, count) for name in GROUPS
                       for count in trial.groups[name][first * ROW:(first + many) * ROW]]
             data = struct.pack(f"<HIBB{len(counts)}H", trial.build, relay.born & 0xFFFFFFFF, first, many, *counts)
             for index in self.order()[:self.seats() + 1]:
@@ -646,29 +656,31 @@
         if len(data) < 8:
             return
         build, born, first, many = struct.unpack_from("<HIBB", data)
-        if build != self.build or len(data) != 8 + 4 * ROW * many:
+        if build != self.build or len(data) != 8 + 2 * len(GROUPS) * ROW * many:
             return
-        counts = list(struct.unpack_from(f"<{2 * ROW * many}H", data, 8))
+        counts = list(struct.unpack_from(f"<{len(GROUPS) * ROW * many}H", data, 8))
         known = self.heard.get((sender, born, first))
         if known is None or sum(counts) >= sum(known):
             self.heard[sender, born, first] = counts
         self.fresh[sender] = self.relay.now
 
     def pool(self) -> list[int]:
-        """Canary rows, then baseline rows, of all relays."""
-        groups = self.relay.trial.groups
-        pooled, size = groups["canary"] + groups["baseline"], ROW * len(self.relay.workloads)
+        """The groups' rows, one group after the other, of all relays."""
+        groups, size = self.relay.trial.groups, ROW * len(self.relay.workloads)
+        pooled = [count for name in GROUPS for count in groups[name]]
         for (_, _, first), counts in self.heard.items():
-            half = len(counts) // 2
-            for place in range(half):
-                if first * ROW + place < size:
-                    pooled[first * ROW + place] += counts[place]
-                    pooled[size + first * ROW + place] += counts[half + place]
+            part = len(counts) // len(GROUPS)
+            for place, count in enumerate(counts):
+                at = first * ROW + place % part
+                if at < size:
+                    pooled[place // part * size + at] += count
         return pooled
 
-    def rows(self, pooled: list[int]) -> Iterable[tuple[list[int], list[int]]]:
-        size = len(pooled) // 2
-        return [(pooled[row:row + ROW], pooled[size + row:size + row + ROW]) for row in range(0, size, ROW)]
+    def rows(self, pooled: list[int], new: int = 0, old: int = 1) -> list[tuple[list[int], list[int]]]:
+        """Two groups' rows side by side, workload by workload."""
+        size = len(pooled) // len(GROUPS)
+        return [(pooled[new * size + row:new * size + row + ROW], pooled[old * size + row:old * size + row + ROW])
+                for row in range(0, size, ROW)]
 
     def fails(self, pooled: list[int]) -> bool:
         """The crude margin, for each workload and for all: failures that the baseline's share leaves unexplained."""
@@ -681,17 +693,17 @@
                 return True
         return False
 
-    def slower(self, pooled: list[int]) -> bool:
+    def slower(self, rows: list[tuple[list[int], list[int]]], margin: float) -> bool:
         """The rank test, workload by workload, their sums pooled; a failure ranks behind every answer."""
         excess = spread = ratio = weight = 0.0
-        for canary, baseline in self.rows(pooled):
+        for canary, baseline in rows:
             new, old = canary[2:] + [canary[1]], baseline[2:] + [baseline[1]]
             if sum(canary[2:]) + canary[1] < LEAST or sum(old) < LEAST / 2:
                 continue
             more, variance = rank_test(new, old)
             excess, spread = excess + more, spread + variance
             ratio, weight = ratio + sum(new) * median(new) / median(old), weight + sum(new)
-        if not spread or ratio <= SLOWER * weight:
+        if not spread or ratio <= margin * weight:
             return False
         return erfc(excess / sqrt(2 * spread)) / 2 < REJECT_AT
 
@@ -709,22 +721,22 @@
     def consider(self) -> None:
         """Each half second: pool, judge, vote."""
         relay = self.relay
+        self.beat += 1
         if relay.build != self.build or relay.phase not in (ON_TRIAL, RELEASED):
             return
         pooled = self.pool()
         old = self.past[self.beat % len(self.past)]
         self.past[self.beat % len(self.past)] = pooled
-        self.beat += 1
         recent = [max(0, new - past) for new, past in zip(pooled, old)] if old else pooled
-        size = len(pooled) // 2
+        size = len(pooled) // len(GROUPS)
         recent[size:] = pooled[size:]            # the baseline is remembered: later no earlier unit is left
         if self.verdict != BACK:
-            self.why = " | ".join(f"{c} / {b}" for c, b in self.rows(pooled))
+            self.why = " | ".join(f"{c[0]} {c[1]} {c[2:]}" for c in zip(*[iter(pooled)] * ROW))
         if self.fails(pooled) or self.fails(recent):
             self.verdict = BACK
         elif self.verdict == 0 and relay.phase == ON_TRIAL and relay.now >= self.due():
             seen = sum(canary[0] + canary[1] for canary, _ in self.rows(pooled))
-            if self.slower(pooled):
+            if self.slower(self.rows(pooled), SLOWER) or self.slower(self.rows(pooled, 1, 2), ALL_SLOWER):
                 self.verdict = BACK
             elif seen >= LEAST or relay.now >= self.due() + PATIENCE:
                 self.verdict = ON
@@ -866,6 +878,8 @@
             for unit in self.units.values():     # what is not tried again is slowly forgiven
                 unit.pace += 0.03 * (1 - unit.pace)
                 unit.failing *= 0.97
+            if not any(self.on_trial(unit.build) for unit in self.units.values()) and self.judge.beat % 2:
+                self.trial.forget()
             self.patience = max([workload.patience() for workload in self.workloads], default=SECOND)
             self.judge.consider()
             if self.judge.beat % 2:
