--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -21,9 +21,11 @@
 TRIAL_PART = 0.9                                 # of the allowance; the rest is kept for further shots
 JUDGES = 3
 EARLY_MARGIN, EARLY_EXCESS = 0.05, 3.0           # back early: failures over the baseline's share
-SLOWER, REJECT_AT, LEAST = 1.25, 0.01, 20        # the rank test at the horizon
-ALL_SLOWER = 1.5                                 # the baseline over the time before the trial
+SLOWER, REJECT_AT, LEAST = 1.4, 0.01, 20        # the rank test at the horizon
+ALL_SLOWER, STEADY = 2.0, 1.15   # and how far traffic may have risen
+#                               # the baseline over the time before the trial
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (clock: about 1 s after it)
+SKIP = 2 * SECOND                                # of a new unit's life
 LAUNCH = 8 * SECOND                              # a stage's units have started by then at the latest
 PATIENCE = 5 * SECOND                            # how long past the horizon thin evidence is waited out
 FRESH = 3 * SECOND                               # older counts are stale
@@ -143,7 +145,7 @@
 class Shot:
     def __init__(self, invocation: Invocation, unit: Unit, now: int, group: str) -> None:
         self.invocation, self.unit, self.sent, self.group = invocation, unit, now, group
-        self.cold = False
+        self.warmth = 1.0
         self.ended = self.never_ran = False
 
 
@@ -162,7 +164,7 @@
 
 class Intake(Stage):
     """Takes invocations, holds those that cannot be sent just now, and gives the one final answer."""
-    HOLD = 0.25                                  # of the promised time
+    HOLD = 0.15                                  # of the promised time
     FURTHER = 0.2                                # further shots after a doubtful one, for each invocation taken
 
     def __init__(self, relay: "Relay") -> None:
@@ -256,14 +258,14 @@
     """Keeps queues short enough for answers in time: a limit on this relay's shots out there, which falls with
     each late answer and rises with those in time.  What finds no room is held a moment, then rejected; the less
     an invocation pays for its time, and the further its customer is over its share, the less of the limit."""
-    LATE = 0.6                                   # of the promised time
-    RISE = 0.12                                  # for each answer in time; a late one costs 1
+    LATE = 0.8                                   # of the promised time
+    RISE = 0.15                                  # for each answer in time; a late one costs 1
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
         self.limit = 40.0
-        self.taken = Ring(2 * SECOND)
-        self.by_customer = [Ring(2 * SECOND) for _ in relay.facts.get("customers", [])]
+        self.taken = Ring(4 * SECOND)
+        self.by_customer = [Ring(4 * SECOND) for _ in relay.facts.get("customers", [])]
 
     def forward(self, invocation: Invocation) -> bool:
         if not invocation.shots:
@@ -322,6 +324,13 @@
         self.groups = {name: [0] * ROW * len(self.relay.workloads) for name in ("canary", "baseline")}
         self.groups["before"] = [int(count) for count in self.lately]
 
+        self.traffic_before = self.traffic()
+
+    def traffic(self) -> float:
+        """Invocations taken of late for each unit's worth of capacity."""
+        room = sum(unit.weight for unit in self.relay.units.values() if unit.open and self.relay.choice.fit(unit))
+        return self.relay.admission.taken.total(self.relay.now) / max(0.01, room)
+
     def forget(self) -> None:
         """While nothing is on trial the latest seconds are kept: the time before the next build."""
         self.lately = [0.85 * count for count in self.lately]
@@ -357,11 +366,13 @@
             row, counts = shot.invocation.workload.place * ROW, self.groups[shot.group]
             if outcome == "served":
                 counts[row] += 1
-                if not shot.cold:
+                # the first 2 s are skipped; after that a cold unit's times count by its warmth, the least it can be
+                if self.relay.now - shot.unit.started > SKIP or not shot.unit.started:
+                    latency = int(latency * shot.warmth)
                     counts[row + 2 + shot.invocation.workload.bucket(latency)] += 1
             elif outcome == "error" and not self.relay.choice.stands_out(shot.unit):
                 counts[row + 1] += 1
-        if outcome == "served" and not shot.cold and not self.relay.on_trial(shot.unit.build):
+        if outcome == "served" and shot.warmth >= 1 and not self.relay.on_trial(shot.unit.build):
             self.lately[shot.invocation.workload.place * ROW + 2 + shot.invocation.workload.bucket(latency)] += 1
         super().backward(shot, outcome, latency)
 
@@ -468,14 +479,14 @@
                 and self.warm_enough(invocation, unit) and self.exposed(invocation, unit)):
             return False
         shot = Shot(invocation, unit, now, relay.trial.group_of(unit))
-        shot.cold = relay.warmth(unit) < 1
+        shot.warmth = relay.warmth(unit)
         invocation.shots.append(shot)
         if not unit.out:
             unit.waiting = now
         unit.out += 1
         cost = self.work(invocation)
         unit.sent.add(now, cost)
-        if not shot.cold:
+        if shot.warmth >= 1:
             self.warm_sent.add(now, cost)
         self.tried.setdefault(unit.build, [Ring(self.span) for _ in relay.workloads])[
             invocation.workload.place].add(now)
@@ -615,11 +626,9 @@
         self.past: list[list[int] | None] = [None] * 12
         self.beat = 0
         self.new_stage()
-        self.verdict = 0
 
     def new_stage(self) -> None:
-        if self.build >= 0 and self.verdict == ON:
-            self.verdict = 0
+        self.verdict = 0
         self.cast = 0                            # the verdict that the platform is known to hold
 
     def order(self) -> list[int]:
@@ -693,20 +702,32 @@
                 return True
         return False
 
-    def slower(self, rows: list[tuple[list[int], list[int]]], margin: float) -> bool:
+    def slower(self, new: list[list[int]], old: list[list[int]], margin: float) -> bool:
         """The rank test, workload by workload, their sums pooled; a failure ranks behind every answer."""
         excess = spread = ratio = weight = 0.0
-        for canary, baseline in rows:
-            new, old = canary[2:] + [canary[1]], baseline[2:] + [baseline[1]]
-            if sum(canary[2:]) + canary[1] < LEAST or sum(old) < LEAST / 2:
+        for canary, baseline in zip(new, old):
+            mine, others = canary[2:] + [canary[1]], baseline[2:] + [baseline[1]]
+            if sum(mine) < 5 or sum(others) < 5:
                 continue
-            more, variance = rank_test(new, old)
+            more, variance = rank_test(mine, others)
             excess, spread = excess + more, spread + variance
-            ratio, weight = ratio + sum(new) * median(new) / median(old), weight + sum(new)
-        if not spread or ratio <= margin * weight:
+            ratio, weight = ratio + sum(mine) * median(mine) / median(others), weight + sum(mine)
+        if weight < LEAST or ratio <= margin * weight:
             return False
         return erfc(excess / sqrt(2 * spread)) / 2 < REJECT_AT
 
+    def worse(self, pooled: list[int]) -> bool:
+        """Slower than the earlier build now and, where traffic is what it was, both slower than before."""
+        size, trial = len(pooled) // len(GROUPS), self.relay.trial
+        canary, baseline, before = ([pooled[place:place + ROW] for place in range(first, first + size, ROW)]
+                                    for first in (0, size, 2 * size))
+        known = [[a + b for a, b in zip(*rows)] for rows in zip(baseline, before)]
+        if self.slower(canary, baseline, SLOWER) or (
+                self.slower(canary, known, SLOWER) and not self.slower(baseline, before, SLOWER)):
+            return True
+        return (trial.traffic() < STEADY * trial.traffic_before and self.slower(baseline, before, ALL_SLOWER)
+                and self.slower(canary, before, ALL_SLOWER))
+
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
         relay = self.relay
@@ -736,7 +757,7 @@
             self.verdict = BACK
         elif self.verdict == 0 and relay.phase == ON_TRIAL and relay.now >= self.due():
             seen = sum(canary[0] + canary[1] for canary, _ in self.rows(pooled))
-            if self.slower(self.rows(pooled), SLOWER) or self.slower(self.rows(pooled, 1, 2), ALL_SLOWER):
+            if self.worse(pooled):
                 self.verdict = BACK
             elif seen >= LEAST or relay.now >= self.due() + PATIENCE:
                 self.verdict = ON
