--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -193,7 +193,7 @@
         silent = invocation.shots[place].unit.waiting <= invocation.shots[place].sent
         admission = self.relay.admission
         if self.facts["two_shots"]:
-            if self.purse >= 1 and (silent or admission.out() < 0.7 * admission.limit):
+            if self.purse >= 1 and silent:
                 self.purse -= 1
                 invocation.copy = True
                 self.next.forward(invocation)
