--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -14,8 +14,7 @@
 ABSENT: dict[str, Any] = dict(
     index=0, relays=1, workloads=[], customers=[], caps=[0.0], stage_shares=[1.0], on_votes=0, hold_votes=0,
     back_votes=0, vote_life=6 * SECOND, vote_wait=SECOND, control="any", free_shots=0, exposure_per="all",
-    exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0, most_shots=1, two_shots=False,
-    may_cancel=False, may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", warm_keys=False,
+    exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0, most_shots=1, may_cancel=False, may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", warm_keys=False,
     zone=0, zone_price=0.0, cold_from=0.25, warm_up=5 * SECOND, fall_multiple=2.0, fall_span=SECOND, drain_grace=0)
 WORKLOAD_ABSENT: dict[str, Any] = dict(promised=SECOND, effect="one-shot", group="all", memory=0, payoff=1.0)
 ON, BACK = 1, 3                                  # verdicts of a vote
@@ -111,12 +110,11 @@
 
 class Invocation:
     def __init__(self, number: int, workload: Workload, customer: int, key: int | None, give_up: int,
-                 size: float, repeat: bool, now: int) -> None:
+                 size: float, repeat: bool) -> None:
         self.number, self.workload, self.customer, self.key = number, workload, customer, key
         self.give_up, self.size, self.repeat = give_up, size, repeat
-        self.hold_until = min(give_up, now + int(Intake.HOLD * workload.promised))
         self.shots: list[Shot] = []
-        self.over = self.copy = False
+        self.over = False
 
     def out(self) -> int:
         return sum(not shot.ended for shot in self.shots)
@@ -146,13 +144,11 @@
 
 
 class Intake(Stage):
-    """Takes invocations, holds for a moment what finds no room, gives each its one final answer."""
-    HOLD = 0.15                                  # of the promised time
+    """Takes invocations and gives each its one final answer, at once where nothing can be sent."""
     FURTHER = 0.2                                # doubtful further shots for each invocation: no storm of repeats
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        self.held: list[Invocation] = []
         self.purse = 5.0
 
     def forward(self, invocation: Invocation) -> None:
@@ -160,20 +156,8 @@
         self.go(invocation)
 
     def go(self, invocation: Invocation) -> None:
-        now = self.relay.now
-        if now < invocation.give_up and (self.next.forward(invocation) or invocation.over or invocation.out()):
-            return
-        if now >= invocation.hold_until:
-            return self.end(invocation)
-        if not self.held:
-            self.relay.host.wake(now + SECOND // 50, self.relay.WAKE_HELD)
-        self.held.append(invocation)
-
-    def try_held(self) -> None:
-        waiting, self.held = self.held, []
-        for invocation in waiting:
-            if not invocation.over:
-                self.go(invocation)
+        if not (self.relay.now < invocation.give_up and self.next.forward(invocation)):
+            self.end(invocation)
 
     def end(self, invocation: Invocation) -> None:
         """What is given up gets its answer at once: a rejection if trying again is known to do no harm."""
@@ -185,22 +169,14 @@
             self.relay.host.forfeit(invocation.number)
 
     def overdue(self, invocation: Invocation) -> None:
-        """A shot later than its kind is copied where copies are allowed and there is room, else called off for
-        another if its unit has answered nothing since.  Guards against hung, dead and very slow units."""
-        if invocation.over or invocation.out() != 1:
-            return
-        place = next(place for place, shot in enumerate(invocation.shots) if not shot.ended)
-        silent = invocation.shots[place].unit.waiting <= invocation.shots[place].sent
-        admission = self.relay.admission
-        if self.facts["two_shots"]:
-            if self.purse >= 1 and silent:
-                self.purse -= 1
-                invocation.copy = True
-                self.next.forward(invocation)
-        elif silent:
-            self.relay.host.cancel(invocation.number, place)
-        else:
-            self.relay.call_late(invocation, invocation.workload.patience() // 2)
+        """A shot later than its kind, whose unit has answered nothing since, is called off for another one.
+        Guards against hung, dead and very slow units; a unit that answers others is waited for."""
+        late = [place for place, shot in enumerate(invocation.shots) if not shot.ended]
+        if late and not invocation.over:
+            if invocation.shots[late[0]].unit.waiting <= invocation.shots[late[0]].sent:
+                self.relay.host.cancel(invocation.number, late[0])
+            else:
+                self.relay.call_late(invocation, invocation.workload.patience() // 2)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         invocation = shot.invocation
@@ -208,8 +184,6 @@
             return
         if outcome == "served":
             return self.close(invocation)
-        if invocation.out():
-            return
         self.purse -= not shot.never_ran
         if self.purse < 0 or len(invocation.shots) >= self.facts["most_shots"] \
                 or not self.relay.gate.may_repeat(invocation):
@@ -345,8 +319,7 @@
         pick = self.relay.chance.pick
         used = [shot.unit for shot in invocation.shots]
         fit = [unit for unit in units if self.fit(unit) and unit not in used]
-        rest = [] if invocation.copy else [unit for unit in units if unit not in fit]
-        for candidates in (fit, rest):           # with no fit unit left the others may do
+        for candidates in (fit, [unit for unit in units if unit not in fit]):   # with no fit unit left the others may do
             key_unit = None
             if invocation.key is not None and self.facts["warm_keys"] and candidates:
                 # Units work faster for keys met lately: the key draws the first of the two choices.
@@ -424,9 +397,9 @@
             self.tried[unit.build] = [Ring(self.facts["exposure_span"]) for _ in relay.workloads]
         self.tried[unit.build][invocation.workload.place].add(now)
         left, patience = invocation.give_up - now, invocation.workload.patience()
-        follows = (invocation.workload.effect == "harmless" and left > 2 * patience and not invocation.copy
+        follows = (invocation.workload.effect == "harmless" and left > 2 * patience
                    and len(invocation.shots) < self.facts["most_shots"])
-        if follows and (self.facts["two_shots"] or self.facts["may_cancel"]):
+        if follows and self.facts["may_cancel"]:
             relay.call_late(invocation, patience)
         elif follows:
             left = 2 * patience
@@ -441,7 +414,7 @@
     # No effect twice: what may have run goes out again, or is rejected, only as its workload allows.
     def may_repeat(self, invocation: Invocation, unit: Unit | None = None) -> bool:
         workload, first = invocation.workload, invocation.may_have_run()
-        if invocation.out() and not self.facts["two_shots"]:
+        if invocation.out():                     # one shot at a time, also where two are allowed
             return False
         if workload.effect == "harmless" or first is None:
             return True
@@ -669,7 +642,7 @@
 
 class Relay:
     """One instance: what it knows, and the door through which events come in."""
-    WAKE_BEAT, WAKE_HELD, WAKE_LIST, WAKE_LATE = 0, 1, 2, 1 << 32
+    WAKE_BEAT, WAKE_LIST, WAKE_LATE = 0, 1, 1 << 32
 
     def __init__(self, host: Host, facts: dict[str, Any], seed: int, now: int) -> None:
         self.host, self.now, self.born, self.since = host, now, now, now
@@ -738,8 +711,7 @@
         self.usual_work += 0.01 * (work - self.usual_work) if self.usual_work else work
         size = work / self.usual_work if work else 1.0
         invocation = self.known[number] = Invocation(
-            number, self.workloads[workload], customer, crc32(key.encode()) if key else None, give_up, size,
-            repeat, self.now)
+            number, self.workloads[workload], customer, crc32(key.encode()) if key else None, give_up, size, repeat)
         self.gate.taken[workload].add(self.now)
         self.admission.take(invocation)
         self.intake.forward(invocation)
@@ -784,8 +756,6 @@
             self.judge.consider()
             if self.judge.beat % 2:
                 self.judge.tell()
-        elif token == self.WAKE_HELD:
-            self.intake.try_held()
         elif token == self.WAKE_LIST:
             self.host.watch_list()
         elif token - self.WAKE_LATE in self.known:
