--- /dev/null
+++ b/tealsail/parts.py
@@ -0,0 +1,80 @@
+"""What the decision module keeps things in: chance, sums over time, and what is known of units, invocations and
+their shots.  Nothing is decided here."""
+from typing import Any
+
+
+def mix(*parts: int) -> int:
+    """A hash that is the same in every instance."""
+    state = 0x9E3779B97F4A7C15
+    for part in parts:
+        state = ((state ^ part) * 0xBF58476D1CE4E5B9) & (1 << 64) - 1
+        state ^= state >> 29
+    return state
+
+
+class Chance:
+    """A linear congruential generator; its high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = mix(seed)
+
+    def share(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
+        return (self.state >> 33) / (1 << 31)
+
+    def pick(self, items: list["Unit"]) -> "Unit":
+        return items[int(self.share() * len(items))]
+
+
+class Ring:
+    """What is measured over time: sums in fixed buckets that are used again."""
+
+    def __init__(self, span: int, buckets: int) -> None:
+        self.span, self.width, self.size = span, max(1, -(-span // buckets)), buckets + 2
+        self.sums, self.stamps = [0.0] * self.size, [-1] * self.size
+
+    def add(self, now: int, amount: float = 1) -> None:
+        stamp = now // self.width
+        if self.stamps[stamp % self.size] != stamp:
+            self.stamps[stamp % self.size], self.sums[stamp % self.size] = stamp, 0.0
+        self.sums[stamp % self.size] += amount
+
+    def total(self, now: int, partial: bool = False) -> float:
+        """Over the last span; the oldest bucket, only partly inside, counts if `partial`."""
+        first = (now - self.span) // self.width + (not partial)
+        return sum(amount for stamp, amount in zip(self.stamps, self.sums) if stamp >= first)
+
+
+class Unit:
+    """A unit as this relay sees it.  A new start or another build makes a new Unit, cold again."""
+
+    def __init__(self, number: int, build: int, zone: int, cell: int, started: int, sent: Ring) -> None:
+        self.number, self.build, self.zone, self.cell, self.started = number, build, zone, cell, started
+        self.weight, self.open = 1.0, True
+        self.out, self.waiting = 0, 0            # our shots out there, and since when with no answer at all
+        self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
+        self.util, self.queue, self.load_at = 0.0, 0.0, 0
+        self.rest_until, self.rest = 0, 0
+        self.sent = sent                         # size of what we sent it
+
+
+class Invocation:
+    def __init__(self, number: int, workload: Any, customer: int, key: int | None, give_up: int,
+                 size: float, repeat: bool) -> None:
+        self.number, self.workload, self.customer, self.key = number, workload, customer, key
+        self.give_up, self.size, self.repeat = give_up, size, repeat
+        self.shots: list[Shot] = []
+        self.over = False
+
+    def out(self) -> int:
+        return sum(not shot.ended for shot in self.shots)
+
+    def may_have_run(self) -> "Shot | None":
+        """The first shot that may have run, or may yet."""
+        return next((shot for shot in self.shots if not shot.never_ran), None)
+
+
+class Shot:
+    def __init__(self, invocation: Invocation, unit: Unit, now: int, group: str, warmth: float) -> None:
+        self.invocation, self.unit, self.sent, self.group, self.warmth = invocation, unit, now, group, warmth
+        self.ended = self.never_ran = False
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -1,21 +1,22 @@
-"""Every decision of tealsail.  A host (interface: tealsail/host.py) builds one `Relay(host, facts, seed, now)` for
-each instance, sets `relay.now` before each event and calls its `on_...` methods; what the relay wants it asks of
-the host at once.  `facts` is a plain map of settings (names: tealsail/adapter/words.py); what is absent is taken
-from ABSENT.  Times are whole tenths of a millisecond.  The design and its source: docs/design.md.
-Top to bottom: tools, what is known, the chain of stages that an invocation passes, the judge, the relay."""
+"""Every decision of tealsail.  A host (its interface: tealsail/host.py) builds one `Relay(host, facts, seed, now)`
+for each instance, sets `relay.now` before each event and calls the `on_...` methods.  `facts` is a plain map of
+settings (names: tealsail/adapter/words.py); times are whole tenths of a millisecond.  Design: docs/design.md.
+In order: tools, what is known, the chain of stages that an invocation passes, the judge, the relay."""
 import struct
 from math import erfc, sqrt
 from typing import Any
 from zlib import crc32
 
 from .host import Host
+from .parts import Chance, Invocation, Ring, Shot, Unit, mix
 
 SECOND = 10_000
 ABSENT: dict[str, Any] = dict(
     index=0, relays=1, workloads=[], customers=[], caps=[0.0], stage_shares=[1.0], on_votes=0, hold_votes=0,
     back_votes=0, vote_life=6 * SECOND, vote_wait=SECOND, control="any", free_shots=0, exposure_per="all",
-    exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0, most_shots=1, may_cancel=False, may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", warm_keys=False,
-    zone=0, zone_price=0.0, cold_from=0.25, warm_up=5 * SECOND, fall_multiple=2.0, fall_span=SECOND, drain_grace=0)
+    exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0, most_shots=1, may_cancel=False,
+    may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", warm_keys=False, cold_from=0.25,
+    warm_up=5 * SECOND, fall_multiple=2.0, fall_span=SECOND, drain_grace=0)
 WORKLOAD_ABSENT: dict[str, Any] = dict(promised=SECOND, effect="one-shot", group="all", memory=0, payoff=1.0)
 ON, BACK = 1, 3                                  # verdicts of a vote
 ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = range(4)
@@ -23,9 +24,9 @@
 # A group's row for one workload: served, failed, histogram (bucket edges in parts of the promised time).
 GROUPS = ("canary", "baseline", "before")
 EDGES = (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
-ROW = 2 + len(EDGES) + 1
+ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # and the buckets of every ring of time
 TRIAL_PART = 0.9                                 # of the allowance, while earlier units can take the rest
-JUDGES = 3
+JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
 EARLY_MARGIN, EARLY_EXCESS = 0.05, 3.0           # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test at the horizon: ratio of medians, level, outcomes
 ALL_SLOWER, STEADY = 1.7, 1.15                   # the same for all units against the time before, traffic within
@@ -36,48 +37,6 @@
 FRESH = 3 * SECOND                               # a judge not heard of for so long is taken for dead
 
 
-def mix(*parts: int) -> int:
-    """A hash that is the same in every instance."""
-    state = 0x9E3779B97F4A7C15
-    for part in parts:
-        state = ((state ^ part) * 0xBF58476D1CE4E5B9) & (1 << 64) - 1
-        state ^= state >> 29
-    return state
-
-
-class Chance:
-    """A linear congruential generator; its high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = mix(seed)
-
-    def share(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
-        return (self.state >> 33) / (1 << 31)
-
-    def pick(self, items: list) -> Any:
-        return items[int(self.share() * len(items))]
-
-
-class Ring:
-    """What is measured over time: sums in fixed buckets that are used again."""
-
-    def __init__(self, span: int, buckets: int = 20) -> None:
-        self.span, self.width, self.size = span, max(1, -(-span // buckets)), buckets + 2
-        self.sums, self.stamps = [0.0] * self.size, [-1] * self.size
-
-    def add(self, now: int, amount: float = 1) -> None:
-        stamp = now // self.width
-        if self.stamps[stamp % self.size] != stamp:
-            self.stamps[stamp % self.size], self.sums[stamp % self.size] = stamp, 0.0
-        self.sums[stamp % self.size] += amount
-
-    def total(self, now: int, partial: bool = False) -> float:
-        """Over the last span; the oldest bucket, only partly inside, counts if `partial`."""
-        first = (now - self.span) // self.width + (not partial)
-        return sum(amount for stamp, amount in zip(self.stamps, self.sums) if stamp >= first)
-
-
 class Workload:
     def __init__(self, place: int, facts: dict[str, Any]) -> None:
         facts = {**WORKLOAD_ABSENT, **facts}
@@ -95,41 +54,6 @@
         return int(min(max(self.mean + 3 * self.deviation, self.promised / 4), 0.75 * self.promised))
 
 
-class Unit:
-    """A unit as this relay sees it.  A new start or another build makes a new Unit, cold again."""
-
-    def __init__(self, number: int, build: int, zone: int, cell: int, started: int, span: int) -> None:
-        self.number, self.build, self.zone, self.cell, self.started = number, build, zone, cell, started
-        self.weight, self.open = 1.0, True
-        self.out, self.waiting = 0, 0            # our shots out there, and since when with no answer at all
-        self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
-        self.util, self.queue, self.load_at = 0.0, 0.0, 0
-        self.rest_until, self.rest = 0, 0
-        self.sent = Ring(span)
-
-
-class Invocation:
-    def __init__(self, number: int, workload: Workload, customer: int, key: int | None, give_up: int,
-                 size: float, repeat: bool) -> None:
-        self.number, self.workload, self.customer, self.key = number, workload, customer, key
-        self.give_up, self.size, self.repeat = give_up, size, repeat
-        self.shots: list[Shot] = []
-        self.over = False
-
-    def out(self) -> int:
-        return sum(not shot.ended for shot in self.shots)
-
-    def may_have_run(self) -> "Shot | None":
-        """The first shot that may have run, or may yet."""
-        return next((shot for shot in self.shots if not shot.never_ran), None)
-
-
-class Shot:
-    def __init__(self, invocation: Invocation, unit: Unit, now: int, group: str, warmth: float) -> None:
-        self.invocation, self.unit, self.sent, self.group, self.warmth = invocation, unit, now, group, warmth
-        self.ended = self.never_ran = False
-
-
 class Stage:
     """A link of the chain: `forward` tells whether the invocation was sent or ended, `backward` hands on
     what came of a shot, the other way."""
@@ -147,15 +71,10 @@
     """Takes invocations and gives each its one final answer, at once where nothing can be sent."""
     FURTHER = 0.2                                # doubtful further shots for each invocation: no storm of repeats
 
-    def __init__(self, relay: "Relay") -> None:
-        super().__init__(relay)
-        self.purse = 5.0
+    purse = 5.0
 
     def forward(self, invocation: Invocation) -> None:
-        self.purse = min(20.0, self.purse + self.FURTHER)
-        self.go(invocation)
-
-    def go(self, invocation: Invocation) -> None:
+        self.purse = min(20.0, self.purse + (0 if invocation.shots else self.FURTHER))
         if not (self.relay.now < invocation.give_up and self.next.forward(invocation)):
             self.end(invocation)
 
@@ -176,7 +95,8 @@
             if invocation.shots[late[0]].unit.waiting <= invocation.shots[late[0]].sent:
                 self.relay.host.cancel(invocation.number, late[0])
             else:
-                self.relay.call_late(invocation, invocation.workload.patience() // 2)
+                again = self.relay.now + invocation.workload.patience() // 2
+                self.relay.host.wake(again, self.relay.WAKE_LATE + invocation.number)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         invocation = shot.invocation
@@ -188,7 +108,7 @@
         if self.purse < 0 or len(invocation.shots) >= self.facts["most_shots"] \
                 or not self.relay.gate.may_repeat(invocation):
             return self.end(invocation)
-        self.go(invocation)
+        self.forward(invocation)
 
     def close(self, invocation: Invocation) -> None:
         """It is over: nothing more is sent, and copies still out are called off."""
@@ -207,38 +127,36 @@
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
         self.limit = 40.0
-        self.taken = Ring(4 * SECOND)
-        self.by_customer = [Ring(4 * SECOND) for _ in self.facts["customers"]]
-
-    def take(self, invocation: Invocation) -> None:
-        self.taken.add(self.relay.now)
-        if invocation.customer < len(self.by_customer):
-            self.by_customer[invocation.customer].add(self.relay.now)
+        self.taken = Ring(4 * SECOND, BUCKETS)
+        self.by_customer = [Ring(4 * SECOND, BUCKETS) for _ in self.facts["customers"]]
 
     def forward(self, invocation: Invocation) -> bool:
-        if not invocation.shots and self.out() + 1 > self.limit * self.part(invocation):
-            return False
+        if not invocation.shots:
+            self.taken.add(self.relay.now)
+            for ring in self.by_customer[invocation.customer:invocation.customer + 1]:
+                ring.add(self.relay.now)
+            if self.out() + 1 > self.limit * self.part(invocation):
+                return False
         return self.next.forward(invocation)
 
     def out(self) -> int:
         return sum(unit.out for unit in self.relay.units.values() if self.relay.choice.fit(unit))
 
     def part(self, invocation: Invocation) -> float:
-        best = max(workload.payoff / workload.mean for workload in self.relay.workloads)
+        best, now = max(workload.payoff / workload.mean for workload in self.relay.workloads), self.relay.now
         part = 1.0 if invocation.workload.payoff / invocation.workload.mean > 0.7 * best else 0.85
-        taken = self.taken.total(self.relay.now)
-        if taken > 20 and invocation.customer < len(self.by_customer):
-            share = 1.3 * self.facts["customers"][invocation.customer].get("share", 1)
-            part /= min(2.0, max(1.0, self.by_customer[invocation.customer].total(self.relay.now) / taken / share))
+        for ring in self.by_customer[invocation.customer:invocation.customer + 1]:
+            fair = 1.3 * self.facts["customers"][invocation.customer].get("share", 1) * self.taken.total(now)
+            part /= min(2.0, max(1.0, ring.total(now) / max(10.0, fair)))
         return part
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, latency_for_size = shot.invocation.workload, latency / max(1.0, shot.invocation.size)
-        if outcome == "full" or (outcome in ("served", "timeout") and shot.unit.waiting >= shot.sent):
-            if outcome == "full" or latency_for_size > self.LATE * workload.promised:
-                self.limit = max(3.0, self.limit - 1)
-            elif self.out() > 0.6 * self.limit:
-                self.limit += self.RISE
+        # A silent unit's time-outs say nothing of load.
+        if outcome == "full" or (latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent):
+            self.limit = max(3.0, self.limit - 1)
+        elif outcome == "served" and self.out() > 0.6 * self.limit:
+            self.limit += self.RISE
         if outcome in ("served", "timeout", "cancelled"):
             workload.saw(latency_for_size)
         super().backward(shot, outcome, latency)
@@ -261,14 +179,13 @@
 
     def traffic(self) -> float:
         """Invocations taken of late for each unit's worth of capacity that answers."""
-        room = sum(unit.weight for unit in self.relay.units.values() if unit.open and self.relay.choice.fit(unit))
+        room = sum(unit.weight for unit in self.relay.units.values() if self.relay.choice.fit(unit))
         return self.relay.admission.taken.total(self.relay.now) / max(0.01, room)
 
     def forward(self, invocation: Invocation) -> bool:
         relay = self.relay
-        units = [unit for unit in relay.units.values() if unit.open]
-        new = [unit for unit in units if relay.on_trial(unit.build)]
-        old = [unit for unit in units if not relay.on_trial(unit.build)]
+        new = [unit for unit in relay.units.values() if relay.on_trial(unit.build)]
+        old = [unit for unit in relay.units.values() if not relay.on_trial(unit.build)]
         # Further shots keep off the build on trial, and so does all once this relay stands for sending it back.
         if new and old and not invocation.shots and relay.judge.verdict != BACK:
             mine, others = (sum(unit.weight * relay.warmth(unit) / max(1.0, unit.pace) for unit in side)
@@ -336,7 +253,7 @@
         cost = (unit.out + 1) * unit.pace / (unit.weight * self.relay.warmth(unit))
         if self.relay.now - unit.load_at < 2 * SECOND:
             cost *= 1 + 2 * unit.util * unit.util + unit.queue / 4
-        return cost * (1.1 if self.facts["zone_price"] and unit.zone != self.facts["zone"] else 1)
+        return cost
 
     def fit(self, unit: Unit) -> bool:
         """Not resting, one shot at a time after a rest, and not silent for longer than answers take."""
@@ -347,7 +264,7 @@
     def stands_out(self, unit: Unit) -> bool:
         """Its errors are the unit's own, not its build's: the build's other units do much better."""
         others = [other.failing for other in self.relay.units.values()
-                  if other.build == unit.build and other is not unit and other.open]
+                  if other.build == unit.build and other is not unit]
         return bool(others) and unit.failing > 0.3 and unit.failing > 3 * sum(others) / len(others)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
@@ -376,14 +293,14 @@
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        self.taken = [Ring(self.facts["exposure_span"]) for _ in relay.workloads]
+        self.taken = [Ring(self.facts["exposure_span"], BUCKETS) for _ in relay.workloads]
         self.tried: dict[int, list[Ring]] = {}   # shots at each build, by workload
-        self.warm_sent = Ring(self.facts["fall_span"])
+        self.warm_sent = Ring(self.facts["fall_span"], BUCKETS)
         self.answered: dict[int, int] = {}       # key -> build that answered it (one-way roll-outs)
 
     def forward(self, invocation: Invocation, unit: Unit) -> bool:
         relay, now = self.relay, self.relay.now
-        if not (self.answerable(invocation) and self.may_repeat(invocation, unit) and unit.open
+        if not (self.answerable(invocation) and self.may_repeat(invocation, unit) and self.listed(unit)
                 and self.warm_enough(invocation, unit) and self.exposed(invocation, unit)):
             return False
         shot = Shot(invocation, unit, now, relay.trial.group_of(unit), relay.warmth(unit))
@@ -393,14 +310,13 @@
         unit.sent.add(now, invocation.size)
         if shot.warmth >= 1:
             self.warm_sent.add(now, invocation.size)
-        if unit.build not in self.tried:
-            self.tried[unit.build] = [Ring(self.facts["exposure_span"]) for _ in relay.workloads]
-        self.tried[unit.build][invocation.workload.place].add(now)
+        self.tried.setdefault(unit.build, [Ring(self.facts["exposure_span"], BUCKETS) for _ in relay.workloads])[
+            invocation.workload.place].add(now)
         left, patience = invocation.give_up - now, invocation.workload.patience()
         follows = (invocation.workload.effect == "harmless" and left > 2 * patience
                    and len(invocation.shots) < self.facts["most_shots"])
         if follows and self.facts["may_cancel"]:
-            relay.call_late(invocation, patience)
+            relay.host.wake(now + patience, relay.WAKE_LATE + invocation.number)
         elif follows:
             left = 2 * patience
         relay.host.send(invocation.number, unit.number, left)
@@ -414,10 +330,8 @@
     # No effect twice: what may have run goes out again, or is rejected, only as its workload allows.
     def may_repeat(self, invocation: Invocation, unit: Unit | None = None) -> bool:
         workload, first = invocation.workload, invocation.may_have_run()
-        if invocation.out():                     # one shot at a time, also where two are allowed
-            return False
-        if workload.effect == "harmless" or first is None:
-            return True
+        if workload.effect == "harmless" or first is None or invocation.out():
+            return not invocation.out()          # one shot at a time, also where two are allowed
         if workload.effect != "stamped" or self.relay.now >= first.sent + workload.memory:
             return False
         return unit is None or workload.group == "all" or (
@@ -429,20 +343,21 @@
             workload.effect == "stamped" and workload.group == "all"
             and self.relay.now < first.sent + workload.memory)
 
-    # Drains kept: a unit that drains or is gone is closed at once (`Relay.on_list`); a closed unit gets nothing.
+    # Drains kept: a unit that drains or is gone leaves `relay.units` at once; only what is listed there gets shots.
+    def listed(self, unit: Unit) -> bool:
+        return self.relay.units.get(unit.number) is unit
 
     # No cold unit pushed over: a cold unit gets from each relay at most an even share of what this relay sends to
     # warm ones, by the least it can do now.  Warm units bear that share, so all relays together stay below the fall.
     def warm_enough(self, invocation: Invocation, unit: Unit) -> bool:
         relay, now, size = self.relay, self.relay.now, invocation.size
-        warmth = relay.warmth(unit)
-        if warmth >= 1:
+        if relay.warmth(unit) >= 1:
             return True
-        warm = sum(other.weight for other in relay.units.values() if other.open and relay.warmth(other) >= 1)
+        warm = sum(other.weight for other in relay.units.values() if relay.warmth(other) >= 1)
         even = self.warm_sent.total(now) / warm * unit.weight if warm else (
             sum(ring.total(now) for ring in self.taken) / len(relay.units)
             * self.facts["fall_span"] / self.facts["exposure_span"])
-        even *= min(self.COLD_PART, self.facts["fall_multiple"] / 2) * warmth
+        even *= min(self.COLD_PART, self.facts["fall_multiple"] / 2) * relay.warmth(unit)
         return size <= 3 and unit.sent.total(now, partial=True) + size <= max(1.0, even)
 
     # Exposure within the cap.
@@ -519,24 +434,19 @@
         self.heard: dict[tuple[int, int, int], list[int]] = {}   # sender, its start, first workload -> newest counts
         self.fresh: dict[int, int] = {}          # sender -> when last heard
         self.past: list[list[int] | None] = [None] * 12
-        self.new_stage()
-
-    def new_stage(self) -> None:
         self.verdict = self.cast = 0             # ours, and what the platform is known to hold
 
-    def order(self) -> list[int]:
-        relay = self.relay
-        return sorted(range(self.facts["relays"]), key=lambda index: -mix(relay.build, relay.stage, index))
-
-    def seats(self) -> int:
-        return max(JUDGES, *(int(self.facts[name]) for name in ("on_votes", "hold_votes", "back_votes")))
+    def drawn(self) -> tuple[int, list[int]]:
+        """How many vote, and all relays in the order that a hash of build and stage draws for them."""
+        relay, seats = self.relay, max(JUDGES, *(int(self.facts[name]) for name in VOTES_NEEDED))
+        return seats, sorted(range(self.facts["relays"]), key=lambda index: -mix(relay.build, relay.stage, index))
 
     def sitting(self) -> bool:
         """One of the judges, or the next in line for one that has not been heard of lately."""
-        relay, order = self.relay, self.order()
-        alive = [index for index in order[:self.seats() + 1] if index == relay.index
+        (seats, order), relay = self.drawn(), self.relay
+        alive = [index for index in order[:seats + 1] if index == relay.index
                  or relay.now - self.fresh.get(index, relay.since) < FRESH]
-        return relay.index in alive[:self.seats()]
+        return relay.index in alive[:seats]
 
     def tell(self) -> None:
         """Our cumulative counts to the judges and the next in line; loss, reorder and restarts heal."""
@@ -545,7 +455,8 @@
             span = slice(first * ROW, min(rows, first + 4) * ROW)
             counts = [min(65535, count) for name in GROUPS for count in trial.groups[name][span]]
             data = struct.pack(f"<HIH{len(counts)}H", trial.build, relay.born & 0xFFFFFFFF, first, *counts)
-            for index in self.order()[:self.seats() + 1]:
+            seats, order = self.drawn()
+            for index in order[:seats + 1]:
                 if index != relay.index:
                     relay.host.tell(index, data)
 
@@ -594,10 +505,9 @@
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
         relay, shares = self.relay, self.facts["stage_shares"]
-        units = [unit for unit in relay.units.values() if unit.open]
-        starts = [unit.started for unit in units if unit.build == relay.build]
+        starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
         latest = relay.since + LAUNCH
-        if len(starts) < max(1, int(shares[min(relay.stage, len(shares) - 1)] * len(units))):
+        if len(starts) < max(1, int(shares[min(relay.stage, len(shares) - 1)] * len(relay.units))):
             return latest + HORIZON
         return min(max(relay.since, *starts), latest) + HORIZON
 
@@ -656,6 +566,7 @@
         self.usual_work, self.patience, self.list_failures = 0.0, SECOND, 0
         self.choice, self.admission, self.gate = Choice(self), Admission(self), Gate(self)
         self.intake, self.trial, self.judge = Intake(self), Trial(self), Judge(self)
+        self.on_told, self.on_vote_answer = self.judge.hear, self.judge.answered
         chain = [self.intake, self.admission, self.trial, self.choice, self.gate]
         for before, after in zip(chain, chain[1:]):
             before.next, after.before = after, before
@@ -678,33 +589,23 @@
         if build != self.build:
             return self.facts["caps"][0]
         if self.now < self.lowered + self.facts["drain_grace"] and not any(
-                unit.open and not self.on_trial(unit.build) for unit in self.units.values()):
+                not self.on_trial(unit.build) for unit in self.units.values()):
             return max(self.told_cap, self.higher_cap)
         return self.told_cap
 
-    def call_late(self, invocation: Invocation, after: int) -> None:
-        self.host.wake(self.now + after, self.WAKE_LATE + invocation.number)
-
     def on_list(self, kind: str, entries: list[tuple]) -> None:
         if kind == "failed":                     # ask again; a standing watch is not hurt by that
             self.list_failures += 1
             delay = min(5 * SECOND, SECOND // 5 * 2 ** min(5, self.list_failures))
             return self.host.wake(self.now + int(delay * (0.5 + self.chance.share() / 2)), self.WAKE_LIST)
-        self.list_failures = 0
-        gone = set() if kind == "changes" else set(self.units)
+        self.list_failures, kept = 0, self.units if kind == "changes" else {}
         for number, build, state, zone, cell, weight, started in entries:
             unit = self.units.get(number)
-            gone.discard(number)
-            if state == "gone":
-                gone.add(number)
-                continue
             if unit is None or unit.build != build or unit.started < started:
-                if unit:
-                    unit.open = False
-                unit = self.units[number] = Unit(number, build, zone, cell, started, self.facts["fall_span"])
+                unit = Unit(number, build, zone, cell, started, Ring(self.facts["fall_span"], BUCKETS))
             unit.weight, unit.open = max(weight, 0.01), state == "open"
-        for number in gone & set(self.units):
-            self.units.pop(number).open = False
+            kept[number] = unit
+        self.units = {number: unit for number, unit in kept.items() if unit.open}
 
     def on_invocation(self, number: int, workload: int, customer: int, key: str | None, give_up: int,
                       work: int, repeat: bool) -> None:
@@ -713,13 +614,7 @@
         invocation = self.known[number] = Invocation(
             number, self.workloads[workload], customer, crc32(key.encode()) if key else None, give_up, size, repeat)
         self.gate.taken[workload].add(self.now)
-        self.admission.take(invocation)
         self.intake.forward(invocation)
-        self.forget(invocation)
-
-    def forget(self, invocation: Invocation) -> None:
-        if invocation.over and not invocation.out():
-            self.known.pop(invocation.number, None)
 
     def on_outcome(self, number: int, place: int, outcome: str, over: bool, latency: int,
                    load: dict[str, float] | None) -> None:
@@ -732,7 +627,6 @@
             shot.unit.load_at = self.now
         invocation.over |= over and outcome != "served"
         self.gate.backward(shot, outcome, latency)
-        self.forget(invocation)
 
     def on_started(self, number: int, place: int) -> None:
         """An answer's stream has begun: the client has it, and nothing more may be sent."""
@@ -742,11 +636,11 @@
     def on_abandoned(self, number: int) -> None:
         if number in self.known and not self.known[number].over:
             self.intake.close(self.known[number])
-            self.forget(self.known[number])
 
     def on_wake(self, token: int) -> None:
         if token == self.WAKE_BEAT:
             self.host.wake(self.now + SECOND // 2, self.WAKE_BEAT)
+            self.known = {number: each for number, each in self.known.items() if not each.over or each.out()}
             self.patience = max([workload.patience() for workload in self.workloads], default=SECOND)
             for unit in self.units.values():     # what is not tried again is slowly forgiven
                 unit.pace += 0.03 * (1 - unit.pace)
@@ -761,25 +655,17 @@
         elif token - self.WAKE_LATE in self.known:
             self.intake.overdue(self.known[token - self.WAKE_LATE])
 
-    def on_told(self, sender: int, data: bytes) -> None:
-        self.judge.hear(sender, data)
-
-    def on_vote_answer(self, answer: str) -> None:
-        self.judge.answered(answer)
-
     def on_stage(self, build: int, stage: int, phase: int, cap: float, age: int) -> None:
-        if (build, stage, phase) != (self.build, self.stage, self.phase):
-            self.since = self.now - age
-            self.host.log(f"build {build} stage {stage} phase {phase} cap {cap}")
         if build == self.build and cap < self.told_cap:
             self.lowered, self.higher_cap = self.now, self.told_cap
-        moved = (stage, phase) != (self.stage, self.phase)
-        new, self.build, self.stage, self.phase, self.told_cap = build != self.build, build, stage, phase, cap
-        if new:
+        earlier = self.build, self.stage, self.phase
+        self.build, self.stage, self.phase, self.told_cap = build, stage, phase, cap
+        if build != earlier[0]:
             self.trial.new_build(build)
             self.judge.new_build()
-        elif moved:
-            self.judge.new_stage()
+        if (build, stage, phase) != earlier:
+            self.since = self.now - age
+            self.judge.verdict = self.judge.cast = 0
 
     def on_flag(self, unit: int, workload: int, age: int) -> None:
         if unit in self.units:
