Shots keep the group that they were sent for

Cause: shots of the earlier build that were out when a new build was told were counted as canary, the slow ones above all; good builds were sent back. Also: the trial share follows the ratio of mean paces, so that a slow unit is not pushed to look slower.

--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -75,6 +75,6 @@
 
 
 class Shot:
-    def __init__(self, invocation: Invocation, unit: Unit, now: int, group: str, warmth: float) -> None:
+    def __init__(self, invocation: Invocation, unit: Unit, now: int, group: list[int] | None, warmth: float) -> None:
         self.invocation, self.unit, self.sent, self.group, self.warmth = invocation, unit, now, group, warmth
         self.ended = self.never_ran = False
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -188,29 +188,30 @@
         old = [unit for unit in relay.units.values() if not relay.on_trial(unit.build)]
         # Further shots keep off the build on trial, and so does all once this relay stands for sending it back.
         if new and old and not invocation.shots and relay.judge.verdict != BACK:
-            mine, others = (sum(unit.weight * relay.warmth(unit) / max(1.0, unit.pace) for unit in side)
-                            for side in (new, old))
-            if relay.chance.share() < mine / (mine + others) \
+            mine, others = (sum(unit.weight * relay.warmth(unit) for unit in side) for side in (new, old))
+            slow, usual = (sum(unit.pace for unit in side) / len(side) for side in (new, old))
+            if relay.chance.share() < mine / (mine + others * max(1.0, slow / usual)) \
                     and relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1:
                 return self.next.forward(invocation, new) or self.next.forward(invocation, old)
         # Departure: where no earlier unit is left to take the tenth, the gate's whole allowance is used.
         return self.next.forward(invocation, old or new)
 
-    def group_of(self, unit: Unit) -> str:
+    def group_of(self, unit: Unit) -> list[int] | None:
+        """The counts that a shot is for.  Shots still out when the next build comes keep the ones they were sent for."""
         if unit.build == self.build:
             self.owed = min(50.0, self.owed + 1)
-            return "canary"
-        if unit.build < self.build and self.owed > 0 and self.relay.chance.share() < self.owed / 4:
+            return self.groups["canary"]
+        if unit.build < self.build and self.owed > 0 and self.relay.chance.share() < 0.5:
             self.owed -= 1
-            return "baseline"
-        return ""
+            return self.groups["baseline"]
+        return None
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, unit = shot.invocation.workload, shot.unit
         bucket = workload.row.start + 2 + sum(latency * shot.warmth > edge * workload.promised for edge in EDGES)
         # One client's repeats are left out where they are marked, and a unit's errors that are not its build's.
         if shot.group and not shot.invocation.repeat:
-            counts = self.groups[shot.group]
+            counts = shot.group
             if outcome == "served":
                 counts[workload.row.start] += 1
                 # Past its first 2 s a cold unit's times count by its warmth: the least that it can be.
@@ -539,7 +540,9 @@
         if self.cast == verdict and now - self.cast_at < self.facts["vote_life"] // 2:
             return
         self.busy_until, self.voted = now + self.facts["vote_wait"] + SECOND // 10, verdict
-        relay.host.log(f"vote {verdict} on build {relay.build} stage {relay.stage}: {pooled}")
+        relay.host.log(f"vote {verdict} on build {relay.build} stage {relay.stage}: " + " ".join(
+            f"{name}" + "".join(f" {row[0]}-{row[1]}@{median(row[2:]):.2f}" for row in group)
+            for name, group in zip(GROUPS, pooled)) + f" {relay.trial.traffic() / max(.01,relay.trial.traffic_before):.2f}")
         relay.host.vote(relay.build, relay.stage, verdict)
 
     def answered(self, answer: str) -> None:
