Count errors of few canary units unless earlier units fail too; margin 1.5 points

Cause: a build that turns bad seconds after its units start fails on its oldest units only; their errors were taken for the units' own.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -27,7 +27,7 @@
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # and the buckets of every ring of time
 TRIAL_PART = 0.9                                 # of the allowance, while earlier units can take the rest
 JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
-EARLY_MARGIN, EARLY_EXCESS = 0.05, 3.0           # back early: failures over what the baseline explains
+EARLY_MARGIN, EARLY_EXCESS = 0.015, 3.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test at the horizon: ratio of medians, level, outcomes
 ALL_SLOWER, STEADY = 1.7, 1.15                   # the same for all units against the time before, traffic within
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
@@ -263,10 +263,14 @@
             unit.out and (unit.rest or now - unit.waiting > self.relay.patience))
 
     def stands_out(self, unit: Unit) -> bool:
-        """Its errors are the unit's own, not its build's: the build's other units do much better."""
-        others = [other.failing for other in self.relay.units.values()
-                  if other.build == unit.build and other is not unit]
-        return bool(others) and unit.failing > 0.3 and unit.failing > 3 * sum(others) / len(others)
+        """Its errors are the unit's own, not its build's: the build's other units do much better and, for a build on
+        trial, earlier units fail as well.  Units that fail in it alone, be they few, are the build's fault: it may
+        turn bad only where it has run for long."""
+        units = self.relay.units.values()
+        others = [other.failing for other in units if other.build == unit.build and other is not unit]
+        elsewhere = [other.failing for other in units if other.build != unit.build]
+        return (unit.failing > 0.3 and unit.failing > 3 * sum(others) / max(1, len(others))
+                and (max(elsewhere, default=1) > 0.3 or not self.relay.on_trial(unit.build)))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         unit, now, workload = shot.unit, self.relay.now, shot.invocation.workload
@@ -508,7 +512,7 @@
         relay, shares = self.relay, self.facts["stage_shares"]
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
         latest = relay.since + LAUNCH
-        if len(starts) < max(1, int(shares[min(relay.stage, len(shares) - 1)] * len(relay.units))):
+        if len(starts) < max(1, int(0.7 * shares[min(relay.stage, len(shares) - 1)] * len(relay.units))):
             return latest + HORIZON
         return min(max(relay.since, *starts), latest) + HORIZON
 
