--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -29,7 +29,7 @@
 JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 3.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test at the horizon: ratio of medians, level, outcomes
-ALL_SLOWER, STEADY = 1.7, 1.15                   # the same for all units against the time before, traffic within
+ALL_SLOWER, STEADY = 1.6, 1.1                    # the same for all units against the time before, traffic within
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock: a second after it)
 LAUNCH = 8 * SECOND                              # by then a stage's units have started, or never will
@@ -132,7 +132,7 @@
 
     def forward(self, invocation: Invocation) -> bool:
         if not invocation.shots:
-            self.taken.add(self.relay.now)
+            self.taken.add(self.relay.now, not invocation.repeat)
             for ring in self.by_customer[invocation.customer:invocation.customer + 1]:
                 ring.add(self.relay.now)
             if self.out() + 1 > self.limit * self.part(invocation):
@@ -175,12 +175,14 @@
         self.build, self.owed = build, 0.0       # owed: baseline shots that the canary group is ahead
         self.groups = {name: [0] * len(self.lately) for name in GROUPS}
         self.groups["before"] = [int(count) for count in self.lately]
-        self.traffic_before = self.traffic()
+        self.taken_before, self.room_before = self.taken(), self.room()
 
-    def traffic(self) -> float:
-        """Invocations taken of late for each unit's worth of capacity that answers."""
-        room = sum(unit.weight for unit in self.relay.units.values() if self.relay.choice.fit(unit))
-        return self.relay.admission.taken.total(self.relay.now) / max(0.01, room)
+    def taken(self) -> int:
+        return int(self.relay.admission.taken.total(self.relay.now))
+
+    def room(self) -> float:
+        """The capacity that answers."""
+        return sum(unit.weight for unit in self.relay.units.values() if self.relay.choice.fit(unit))
 
     def forward(self, invocation: Invocation) -> bool:
         relay = self.relay
@@ -438,6 +440,7 @@
     def new_build(self) -> None:
         self.heard: dict[tuple[int, int, int], list[int]] = {}   # sender, its start, first workload -> newest counts
         self.fresh: dict[int, int] = {}          # sender -> when last heard
+        self.traffic: dict[int, tuple[int, int]] = {}            # sender -> invocations of late, and before the trial
         self.past: list[list[int] | None] = [None] * 12
         self.verdict = self.cast = 0             # ours, and what the platform is known to hold
 
@@ -459,7 +462,8 @@
         for first in range(0, rows if trial.build >= 0 and self.facts["may_tell"] else 0, 4):
             span = slice(first * ROW, min(rows, first + 4) * ROW)
             counts = [min(65535, count) for name in GROUPS for count in trial.groups[name][span]]
-            data = struct.pack(f"<HIH{len(counts)}H", trial.build, relay.born & 0xFFFFFFFF, first, *counts)
+            data = struct.pack(f"<HIHHH{len(counts)}H", trial.build, relay.born & 0xFFFFFFFF, first, trial.taken(),
+                               trial.taken_before, *counts)
             seats, order = self.drawn()
             for index in order[:seats + 1]:
                 if index != relay.index:
@@ -467,11 +471,11 @@
 
     def hear(self, sender: int, data: bytes) -> None:
         relay = self.relay
-        if len(data) < 8 or (len(data) - 8) % (2 * ROW * len(GROUPS)):
+        if len(data) < 12 or (len(data) - 12) % (2 * ROW * len(GROUPS)):
             return
-        build, born, first, *counts = struct.unpack(f"<HIH{(len(data) - 8) // 2}H", data)
+        build, born, first, taken, before, *counts = struct.unpack(f"<HIHHH{(len(data) - 12) // 2}H", data)
         if build == relay.build and first * ROW + len(counts) // len(GROUPS) <= len(relay.trial.lately):
-            self.fresh[sender] = relay.now
+            self.fresh[sender], self.traffic[sender] = relay.now, (taken, before)
             known = self.heard.get((sender, born, first))
             if known is None or sum(counts) >= sum(known):       # cumulative: the larger is the newer
                 self.heard[sender, born, first] = counts
@@ -502,10 +506,12 @@
         known = [[a + b for a, b in zip(*rows)] for rows in zip(baseline, before)]
         if slower(canary, baseline, SLOWER) and slower(canary, known, SLOWER):
             return True
-        trial = self.relay.trial
-        now = [[a + b for a, b in zip(*rows)] for rows in zip(recent, baseline)]
-        return trial.traffic() < STEADY * trial.traffic_before and slower(now, before, ALL_SLOWER) \
-            and slower(recent, before, ALL_SLOWER)
+        trial, relay = self.relay.trial, self.relay
+        traffic = [(trial.taken(), trial.taken_before)] + [
+            each for sender, each in self.traffic.items() if relay.now - self.fresh[sender] < FRESH]
+        now, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
+        steady = now / max(0.01, trial.room()) < STEADY * then / max(0.01, trial.room_before)
+        return steady and slower(recent[1] if sum(map(sum, recent[1])) > 2 * LEAST else recent[0], before, ALL_SLOWER)
 
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
@@ -523,9 +529,10 @@
         if relay.build != relay.trial.build or relay.phase not in (ON_TRIAL, RELEASED):
             return
         pooled = self.pool()
-        old, self.past[place] = self.past[place] or [[0] * ROW for _ in pooled[0]], pooled[0]
-        recent = [[max(0, new - past) for new, past in zip(*rows)] for rows in zip(pooled[0], old)]
-        if self.fails(*pooled[:2]) or self.fails(recent, pooled[1]):
+        old, self.past[place] = self.past[place] or [[[0] * ROW for _ in rows] for rows in pooled], pooled
+        recent = [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*rows)]
+                  for rows in zip(pooled, old)]
+        if self.fails(*pooled[:2]) or self.fails(recent[0], pooled[1]):
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             if self.worse(pooled, recent):
@@ -546,7 +553,7 @@
         self.busy_until, self.voted = now + self.facts["vote_wait"] + SECOND // 10, verdict
         relay.host.log(f"vote {verdict} on build {relay.build} stage {relay.stage}: " + " ".join(
             f"{name}" + "".join(f" {row[0]}-{row[1]}@{median(row[2:]):.2f}" for row in group)
-            for name, group in zip(GROUPS, pooled)) + f" {relay.trial.traffic() / max(.01,relay.trial.traffic_before):.2f}")
+            for name, group in zip(GROUPS, pooled)))
         relay.host.vote(relay.build, relay.stage, verdict)
 
     def answered(self, answer: str) -> None:
