Let a low limit on shots out rise again

Cause: after a jam the limit stayed at its floor, as the answered shot was not counted and so the limit never seemed used.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -155,7 +155,7 @@
         # A silent unit's time-outs say nothing of load.
         if outcome == "full" or (latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent):
             self.limit = max(3.0, self.limit - 1)
-        elif outcome == "served" and self.out() > 0.6 * self.limit:
+        elif outcome == "served" and self.out() + 1 > 0.5 * self.limit:
             self.limit += self.RISE
         if outcome in ("served", "timeout", "cancelled"):
             workload.saw(latency_for_size)
