Spread the test's level over the stages; a shared slow-down needs canary traffic

Cause: five stages at 1% each sent good builds back; a crash of the one canary unit passed for a shared slow-down.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -28,10 +28,11 @@
 TRIAL_PART = 0.9                                 # of the allowance, while earlier units can take the rest
 JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 3.0          # back early: failures over what the baseline explains
-SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test at the horizon: ratio of medians, level, outcomes
+SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: ratio of medians, level over all stages, outcomes
 ALL_SLOWER, STEADY = 1.6, 1.1                    # the same for all units against the time before, traffic within
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock: a second after it)
+UNLISTED = 2 * SECOND                            # later still while units of the stage seem to be missing
 LAUNCH = 8 * SECOND                              # by then a stage's units have started, or never will
 PATIENCE = 5 * SECOND                            # how long past the horizon thin evidence is waited out
 FRESH = 3 * SECOND                               # a judge not heard of for so long is taken for dead
@@ -416,7 +417,7 @@
     return edges[-1]
 
 
-def slower(mine: list[list[int]], others: list[list[int]], margin: float) -> bool:
+def slower(mine: list[list[int]], others: list[list[int]], margin: float, level: float) -> bool:
     """The rank test, workload by workload, sums pooled; a failure ranks behind every answer."""
     excess = spread = ratio = weight = 0.0
     for new, old in zip(mine, others):
@@ -425,7 +426,7 @@
             more, variance = rank_test(new, old)
             excess, spread = excess + more, spread + variance
             ratio, weight = ratio + sum(new) * median(new) / median(old), weight + sum(new)
-    return weight >= LEAST and ratio > margin * weight and erfc(excess / sqrt(2 * spread)) / 2 < REJECT_AT
+    return weight >= LEAST and ratio > margin * weight and erfc(excess / sqrt(2 * spread)) / 2 < level
 
 
 class Judge:
@@ -503,24 +504,24 @@
         """Slower than the earlier build.  Departure, for a build that slows old and new units alike: where traffic
         is what it was, all units now against the time before the trial."""
         canary, baseline, before = pooled
-        known = [[a + b for a, b in zip(*rows)] for rows in zip(baseline, before)]
-        if slower(canary, baseline, SLOWER) and slower(canary, known, SLOWER):
-            return True
+        level = REJECT_AT / len(self.facts["stage_shares"])
+        if slower(canary, baseline, SLOWER, level) or sum(row[0] for row in recent[0]) < LEAST:
+            return slower(canary, baseline, SLOWER, level)
         trial, relay = self.relay.trial, self.relay
         traffic = [(trial.taken(), trial.taken_before)] + [
             each for sender, each in self.traffic.items() if relay.now - self.fresh[sender] < FRESH]
-        now, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
-        steady = now / max(0.01, trial.room()) < STEADY * then / max(0.01, trial.room_before)
-        return steady and slower(recent[1] if sum(map(sum, recent[1])) > 2 * LEAST else recent[0], before, ALL_SLOWER)
+        taken, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
+        steady = taken / max(0.01, trial.room()) < STEADY * then / max(0.01, trial.room_before)
+        now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
+        return steady and slower(now, before, ALL_SLOWER, level)
 
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
         relay, shares = self.relay, self.facts["stage_shares"]
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
-        latest = relay.since + LAUNCH
-        if len(starts) < max(1, int(0.7 * shares[min(relay.stage, len(shares) - 1)] * len(relay.units))):
-            return latest + HORIZON
-        return min(max(relay.since, *starts), latest) + HORIZON
+        wanted = int(shares[min(relay.stage, len(shares) - 1)] * len(relay.units))
+        slack = 0 if len(starts) >= max(1, wanted) else UNLISTED
+        return min(max([relay.since, *starts]) + slack, relay.since + LAUNCH) + HORIZON
 
     def consider(self) -> None:
         """Each half second: pool, judge, vote.  Also after the release: the baseline is then a remembered one."""
