--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -1,5 +1,5 @@
-"""What the decision module keeps things in: chance, sums over time, and what is known of units, invocations and
-their shots.  Nothing is decided here."""
+"""What the decision module is made of: chance, sums over time, the rank test's sums, what is known of units,
+invocations and their shots, and the links of the chain.  Nothing is decided here."""
 from typing import Any
 
 
@@ -45,6 +45,17 @@
         return sum(amount for stamp, amount in zip(self.stamps, self.sums) if stamp >= first)
 
 
+def rank_test(canary: list[int], baseline: list[int]) -> tuple[float, float]:
+    """Mann-Whitney's U of the canary on bucket counts, over its mean, and its variance (ties corrected)."""
+    n, m = sum(canary), sum(baseline)
+    total, below, above, ties = n + m, 0, 0.0, 0
+    for c, b in zip(canary, baseline):
+        above += c * (below + b / 2)
+        below += b
+        ties += (c + b) ** 3 - (c + b)
+    return above - n * m / 2, n * m / 12 * (total + 1 - ties / (total * (total - 1)))
+
+
 class Unit:
     """A unit as this relay sees it.  A new start or another build makes a new Unit, cold again."""
 
@@ -78,3 +89,16 @@
     def __init__(self, invocation: Invocation, unit: Unit, now: int, group: list[int] | None, warmth: float) -> None:
         self.invocation, self.unit, self.sent, self.group, self.warmth = invocation, unit, now, group, warmth
         self.ended = self.never_ran = False
+
+
+class Stage:
+    """A link of the chain: `forward` tells whether the invocation was sent or ended, `backward` hands on
+    what came of a shot, the other way."""
+    next: Any
+    before: Any
+
+    def __init__(self, relay: Any) -> None:
+        self.relay, self.facts = relay, relay.facts
+
+    def backward(self, shot: Shot, outcome: str, latency: int) -> None:
+        self.before.backward(shot, outcome, latency)
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -1,14 +1,15 @@
-"""Every decision of tealsail.  A host (its interface: tealsail/host.py) builds one `Relay(host, facts, seed, now)`
-for each instance, sets `relay.now` before each event and calls the `on_...` methods.  `facts` is a plain map of
-settings (names: tealsail/adapter/words.py); times are whole tenths of a millisecond.  Design: docs/design.md.
-In order: tools, what is known, the chain of stages that an invocation passes, the judge, the relay."""
+"""Every decision of tealsail.  A host (calls: tealsail/host.py) builds one `Relay(host, facts, seed, now)`
+for each instance, sets `relay.now` before each event and calls its `on_...` methods.  `facts` is a plain map
+of settings (names: tealsail/adapter/words.py); times are whole tenths of a millisecond.  The design is told
+in docs/design.md.  In order: what is tuned, the chain that an invocation passes, the judge, the relay."""
 import struct
+from collections import defaultdict
 from math import erfc, sqrt
 from typing import Any
 from zlib import crc32
 
 from .host import Host
-from .parts import Chance, Invocation, Ring, Shot, Unit, mix
+from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, mix, rank_test
 
 SECOND = 10_000
 ABSENT: dict[str, Any] = dict(
@@ -16,8 +17,8 @@
     back_votes=0, vote_life=6 * SECOND, vote_wait=SECOND, control="any", free_shots=0, exposure_per="all",
     exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0, most_shots=1, may_cancel=False,
     may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", warm_keys=False, cold_from=0.25,
-    warm_up=5 * SECOND, fall_multiple=2.0, fall_span=SECOND, drain_grace=0)
-WORKLOAD_ABSENT: dict[str, Any] = dict(promised=SECOND, effect="one-shot", group="all", memory=0, payoff=1.0)
+    warm_up=5 * SECOND, fall_multiple=2.0, fall_span=SECOND, drain_grace=0,
+    promised=SECOND, effect="one-shot", group="all", memory=0, payoff=1.0)       # these of a workload
 ON, BACK = 1, 3                                  # verdicts of a vote
 ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = range(4)
 NEVER_RAN = {"full", "unreachable", "moot"}      # outcomes that prove that a shot was not run
@@ -28,10 +29,10 @@
 TRIAL_PART = 0.9                                 # of the allowance, while earlier units can take the rest
 JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 3.0          # back early: failures over what the baseline explains
-SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: ratio of medians, level over all stages, outcomes
-ALL_SLOWER, STEADY = 1.6, 1.1                    # the same for all units against the time before, traffic within
+SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
+ALL_SLOWER, STEADY = 1.6, 1.1                    # the same against the time before, and traffic's rise
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
-HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock: a second after it)
+HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
 UNLISTED = 2 * SECOND                            # later still while units of the stage seem to be missing
 LAUNCH = 8 * SECOND                              # by then a stage's units have started, or never will
 PATIENCE = 5 * SECOND                            # how long past the horizon thin evidence is waited out
@@ -40,37 +41,20 @@
 
 class Workload:
     def __init__(self, place: int, facts: dict[str, Any]) -> None:
-        facts = {**WORKLOAD_ABSENT, **facts}
+        facts = ABSENT | facts
         self.place, self.row = place, slice(place * ROW, (place + 1) * ROW)
         self.promised, self.effect, self.group = facts["promised"], facts["effect"], facts["group"]
         self.memory, self.payoff = facts["memory"], facts["payoff"]
         self.mean, self.deviation = self.promised / 5, self.promised / 10
 
-    def saw(self, latency: float) -> None:
-        self.deviation += 0.05 * (abs(latency - self.mean) - self.deviation)
-        self.mean += 0.05 * (latency - self.mean)
-
     def patience(self) -> int:
         """After this a shot is late for its kind: mean and three deviations, bounded by the promise."""
         return int(min(max(self.mean + 3 * self.deviation, self.promised / 4), 0.75 * self.promised))
 
 
-class Stage:
-    """A link of the chain: `forward` tells whether the invocation was sent or ended, `backward` hands on
-    what came of a shot, the other way."""
-    next: Any
-    before: Any
-
-    def __init__(self, relay: "Relay") -> None:
-        self.relay, self.facts = relay, relay.facts
-
-    def backward(self, shot: Shot, outcome: str, latency: int) -> None:
-        self.before.backward(shot, outcome, latency)
-
-
 class Intake(Stage):
     """Takes invocations and gives each its one final answer, at once where nothing can be sent."""
-    FURTHER = 0.2                                # doubtful further shots for each invocation: no storm of repeats
+    FURTHER = 0.2                                # doubtful further shots an invocation: no storm of repeats
 
     purse = 5.0
 
@@ -93,36 +77,29 @@
         Guards against hung, dead and very slow units; a unit that answers others is waited for."""
         late = [place for place, shot in enumerate(invocation.shots) if not shot.ended]
         if late and not invocation.over:
-            if invocation.shots[late[0]].unit.waiting <= invocation.shots[late[0]].sent:
+            shot = invocation.shots[late[0]]
+            if shot.unit.waiting <= shot.sent and self.purse >= 1:
                 self.relay.host.cancel(invocation.number, late[0])
             else:
-                again = self.relay.now + invocation.workload.patience() // 2
-                self.relay.host.wake(again, self.relay.WAKE_LATE + invocation.number)
+                self.relay.host.wake(self.relay.now + invocation.workload.patience() // 2,
+                                     self.relay.WAKE_LATE + invocation.number)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         invocation = shot.invocation
+        invocation.over |= outcome == "served"
         if invocation.over:
             return
-        if outcome == "served":
-            return self.close(invocation)
-        self.purse -= not shot.never_ran
+        self.purse = max(-1.0, self.purse - (not shot.never_ran))
         if self.purse < 0 or len(invocation.shots) >= self.facts["most_shots"] \
                 or not self.relay.gate.may_repeat(invocation):
             return self.end(invocation)
         self.forward(invocation)
 
-    def close(self, invocation: Invocation) -> None:
-        """It is over: nothing more is sent, and copies still out are called off."""
-        invocation.over = True
-        for place, shot in enumerate(invocation.shots):
-            if not shot.ended and self.facts["may_cancel"]:
-                self.relay.host.cancel(invocation.number, place)
-
 
 class Admission(Stage):
-    """Keeps queues short enough for answers in time: a limit on this relay's shots out there falls with each late
-    answer and rises with those in time.  What pays little for its time, or comes from a customer beyond its share,
-    finds less room.  Guards against overload whatever its cause; could harm where answers are late by nature."""
+    """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
+    in time.  What pays little for its time, or is of a customer beyond its share, has less room.  Guards
+    against overload whatever its cause; could harm where answers are late by nature."""
     LATE, RISE = 0.8, 0.15                       # late: of the promised time; a late answer costs 1
 
     def __init__(self, relay: "Relay") -> None:
@@ -153,18 +130,19 @@
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, latency_for_size = shot.invocation.workload, latency / max(1.0, shot.invocation.size)
-        # A silent unit's time-outs say nothing of load.
-        if outcome == "full" or (latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent):
+        late = latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent
+        if late or outcome == "full":            # a silent unit's time-outs say nothing of load
             self.limit = max(3.0, self.limit - 1)
         elif outcome == "served" and self.out() + 1 > 0.5 * self.limit:
             self.limit += self.RISE
         if outcome in ("served", "timeout", "cancelled"):
-            workload.saw(latency_for_size)
+            workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
+            workload.mean += 0.05 * (latency_for_size - workload.mean)
         super().backward(shot, outcome, latency)
 
 
 class Trial(Stage):
-    """Which build: the one on trial gets its units' share of the work, under nine tenths of the allowance; an equal
+    """Which build: the one on trial gets its units' share, under nine tenths of the allowance; an equal
     random slice of what goes to the earlier build is the baseline.  Counts the groups' outcomes."""
 
     def __init__(self, relay: "Relay") -> None:
@@ -173,34 +151,32 @@
         self.new_build(-1)
 
     def new_build(self, build: int) -> None:
-        self.build, self.owed = build, 0.0       # owed: baseline shots that the canary group is ahead
+        self.build, self.owed = build, 0.0       # how far the canary group is ahead of the baseline
         self.groups = {name: [0] * len(self.lately) for name in GROUPS}
         self.groups["before"] = [int(count) for count in self.lately]
         self.taken_before, self.room_before = self.taken(), self.room()
 
     def taken(self) -> int:
-        return int(self.relay.admission.taken.total(self.relay.now))
+        return min(65535, int(self.relay.admission.taken.total(self.relay.now)))
 
-    def room(self) -> float:
-        """The capacity that answers."""
-        return sum(unit.weight for unit in self.relay.units.values() if self.relay.choice.fit(unit))
+    def room(self) -> float:                     # the capacity that answers
+        return sum(unit.weight for unit in self.relay.units.values() if self.relay.choice.fit(unit)) or 0.01
 
     def forward(self, invocation: Invocation) -> bool:
         relay = self.relay
         new = [unit for unit in relay.units.values() if relay.on_trial(unit.build)]
         old = [unit for unit in relay.units.values() if not relay.on_trial(unit.build)]
-        # Further shots keep off the build on trial, and so does all once this relay stands for sending it back.
-        if new and old and not invocation.shots and relay.judge.verdict != BACK:
+        wanted = bool(new and old) and not invocation.shots and relay.judge.verdict != BACK
+        if wanted:                               # further shots keep off it, and all once we are for back
             mine, others = (sum(unit.weight * relay.warmth(unit) for unit in side) for side in (new, old))
             slow, usual = (sum(unit.pace for unit in side) / len(side) for side in (new, old))
-            if relay.chance.share() < mine / (mine + others * max(1.0, slow / usual)) \
-                    and relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1:
-                return self.next.forward(invocation, new) or self.next.forward(invocation, old)
-        # Departure: where no earlier unit is left to take the tenth, the gate's whole allowance is used.
-        return self.next.forward(invocation, old or new)
+            wanted = (relay.chance.share() < mine / (mine + others * max(1.0, slow / usual))
+                      and relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1)
+        # Departure: what earlier units cannot take (none left, cold ones full) may use the whole allowance.
+        return any(self.next.forward(invocation, side) for side in ((new, old) if wanted else (old, new)))
 
     def group_of(self, unit: Unit) -> list[int] | None:
-        """The counts that a shot is for.  Shots still out when the next build comes keep the ones they were sent for."""
+        """The counts that a shot is for, its own even if it is still out when the next build comes."""
         if unit.build == self.build:
             self.owed = min(50.0, self.owed + 1)
             return self.groups["canary"]
@@ -211,39 +187,32 @@
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, unit = shot.invocation.workload, shot.unit
-        bucket = workload.row.start + 2 + sum(latency * shot.warmth > edge * workload.promised for edge in EDGES)
-        # One client's repeats are left out where they are marked, and a unit's errors that are not its build's.
+        times = latency * shot.warmth / workload.promised
+        bucket = workload.row.start + 2 + sum(times > edge for edge in EDGES)
+        # Left out: one client's repeats where they are marked, and a unit's errors that are not its build's.
         if shot.group and not shot.invocation.repeat:
-            counts = shot.group
-            if outcome == "served":
-                counts[workload.row.start] += 1
-                # Past its first 2 s a cold unit's times count by its warmth: the least that it can be.
-                if not unit.started or self.relay.now - unit.started > SKIP:
-                    counts[bucket] += 1
-            elif outcome == "error" and not self.relay.choice.stands_out(unit):
-                counts[workload.row.start + 1] += 1
+            failed = outcome == "error" and not self.relay.choice.stands_out(unit)
+            shot.group[workload.row.start] += outcome == "served"
+            shot.group[workload.row.start + 1] += failed
+            # Past its first 2 s a cold unit's times count by its warmth: the least that it can be.
+            if outcome == "served" and self.relay.now - unit.started > SKIP:
+                shot.group[bucket] += 1
         if outcome == "served" and shot.warmth >= 1 and not self.relay.on_trial(unit.build):
             self.lately[bucket] += 1
         super().backward(shot, outcome, latency)
 
-    def flagged(self, unit: Unit, workload: Workload) -> None:
-        """A wrong answer that a client found stands for more, but not for all of them: some reports are false."""
-        if unit.build == self.build:
-            self.groups["canary"][workload.row.start + 1] += min(3, round(1 / max(0.01, self.facts["flag_share"])))
-
 
 class Choice(Stage):
-    """Which unit: two random choices in the build, by what is out there, heard of load, and how answers come."""
+    """Which unit: two random choices in the build, by shots out there, load heard of and answers seen."""
     REST, LONGEST_REST = SECOND // 2, 4 * SECOND
 
     def forward(self, invocation: Invocation, units: list[Unit]) -> bool:
         pick = self.relay.chance.pick
         used = [shot.unit for shot in invocation.shots]
         fit = [unit for unit in units if self.fit(unit) and unit not in used]
-        for candidates in (fit, [unit for unit in units if unit not in fit]):   # with no fit unit left the others may do
-            key_unit = None
+        for candidates in (fit, [unit for unit in units if unit not in fit]):    # the others only if need be
+            key_unit = None                      # the key's own, where units work faster for known keys
             if invocation.key is not None and self.facts["warm_keys"] and candidates:
-                # Units work faster for keys met lately: the key draws the first of the two choices.
                 key_unit = max(candidates, key=lambda unit: mix(invocation.key or 0, unit.number))
             while candidates:
                 pair = (key_unit if key_unit in candidates else pick(candidates), pick(candidates))
@@ -266,9 +235,8 @@
             unit.out and (unit.rest or now - unit.waiting > self.relay.patience))
 
     def stands_out(self, unit: Unit) -> bool:
-        """Its errors are the unit's own, not its build's: the build's other units do much better and, for a build on
-        trial, earlier units fail as well.  Units that fail in it alone, be they few, are the build's fault: it may
-        turn bad only where it has run for long."""
+        """Its errors are its own: its build's other units do much better and, for a build on trial, earlier
+        units fail too.  Few that fail in that alone count against it: a build may turn bad with their age."""
         units = self.relay.units.values()
         others = [other.failing for other in units if other.build == unit.build and other is not unit]
         elsewhere = [other.failing for other in units if other.build != unit.build]
@@ -289,9 +257,8 @@
             unit.rest = 0
         elif outcome in ("unreachable", "reset") or (late and unit.waiting <= shot.sent) \
                 or (outcome == "error" and self.stands_out(unit)):
-            # Dead, silent or failing on its own, whatever the cause: it rests, longer each time.
             unit.rest = min(self.LONGEST_REST, 2 * unit.rest or self.REST)
-            unit.rest_until = now + unit.rest
+            unit.rest_until = now + unit.rest    # dead, silent or failing on its own: it rests, longer
         super().backward(shot, outcome, latency)
 
 
@@ -301,8 +268,9 @@
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        self.taken = [Ring(self.facts["exposure_span"], BUCKETS) for _ in relay.workloads]
-        self.tried: dict[int, list[Ring]] = {}   # shots at each build, by workload
+        span = self.facts["exposure_span"]
+        self.taken = [Ring(span, BUCKETS) for _ in relay.workloads]
+        self.tried = defaultdict(lambda: [Ring(span, BUCKETS) for _ in relay.workloads])     # by build
         self.warm_sent = Ring(self.facts["fall_span"], BUCKETS)
         self.answered: dict[int, int] = {}       # key -> build that answered it (one-way roll-outs)
 
@@ -318,16 +286,14 @@
         unit.sent.add(now, invocation.size)
         if shot.warmth >= 1:
             self.warm_sent.add(now, invocation.size)
-        self.tried.setdefault(unit.build, [Ring(self.facts["exposure_span"], BUCKETS) for _ in relay.workloads])[
-            invocation.workload.place].add(now)
+        self.tried[unit.build][invocation.workload.place].add(now)
         left, patience = invocation.give_up - now, invocation.workload.patience()
         follows = (invocation.workload.effect == "harmless" and left > 2 * patience
                    and len(invocation.shots) < self.facts["most_shots"])
         if follows and self.facts["may_cancel"]:
             relay.host.wake(now + patience, relay.WAKE_LATE + invocation.number)
-        elif follows:
-            left = 2 * patience
-        relay.host.send(invocation.number, unit.number, left)
+        relay.host.send(invocation.number, unit.number,
+                        2 * patience if follows and not self.facts["may_cancel"] else left)
         return True
 
     # No invocation is lost, and nothing is sent for one that is over.
@@ -348,15 +314,14 @@
     def may_reject(self, invocation: Invocation) -> bool:
         workload, first = invocation.workload, invocation.may_have_run()
         return workload.effect == "harmless" or first is None or (
-            workload.effect == "stamped" and workload.group == "all"
-            and self.relay.now < first.sent + workload.memory)
+            workload.group == "all" and self.may_repeat(invocation))
 
-    # Drains kept: a unit that drains or is gone leaves `relay.units` at once; only what is listed there gets shots.
+    # Drains kept: a unit that drains or is gone leaves `relay.units` at once; only what is there gets shots.
     def listed(self, unit: Unit) -> bool:
         return self.relay.units.get(unit.number) is unit
 
-    # No cold unit pushed over: a cold unit gets from each relay at most an even share of what this relay sends to
-    # warm ones, by the least it can do now.  Warm units bear that share, so all relays together stay below the fall.
+    # No cold unit pushed over: it gets from each relay at most an even share of what that relay sends to warm
+    # ones, by the least it can do now.  Those bear it, so all relays together stay below the fall.
     def warm_enough(self, invocation: Invocation, unit: Unit) -> bool:
         relay, now, size = self.relay, self.relay.now, invocation.size
         if relay.warmth(unit) >= 1:
@@ -383,10 +348,10 @@
 
     def allowance(self, invocation: Invocation, build: int, part: float = 1.0) -> float:
         """Shots at a build that are left in the window (partial oldest buckets count against us)."""
-        now = self.relay.now
-        rows = [invocation.workload.place] if self.facts["exposure_per"] == "class" else range(len(self.taken))
-        tried = sum(self.tried[build][row].total(now, partial=True) for row in rows) if build in self.tried else 0
-        taken = sum(self.taken[row].total(now) for row in rows)
+        now, place = self.relay.now, invocation.workload.place
+        rows = slice(place, place + 1) if self.facts["exposure_per"] == "class" else slice(None)
+        tried = sum(ring.total(now, partial=True) for ring in self.tried[build][rows])
+        taken = sum(ring.total(now) for ring in self.taken[rows])
         return part * (self.facts["free_shots"] + self.relay.cap(build) * taken) - tried
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
@@ -396,17 +361,6 @@
         super().backward(shot, outcome, latency)
 
 
-def rank_test(canary: list[int], baseline: list[int]) -> tuple[float, float]:
-    """Mann-Whitney's U of the canary on bucket counts, over its mean, and its variance (ties corrected)."""
-    n, m = sum(canary), sum(baseline)
-    total, below, above, ties = n + m, 0, 0.0, 0
-    for c, b in zip(canary, baseline):
-        above += c * (below + b / 2)
-        below += b
-        ties += (c + b) ** 3 - (c + b)
-    return above - n * m / 2, n * m / 12 * (total + 1 - ties / (total * (total - 1)))
-
-
 def median(counts: list[int]) -> float:
     """The median of bucket counts in parts of the promised time, inside a bucket by the edges' ratio."""
     half, edges = sum(counts) / 2, (EDGES[0] / 2, *EDGES, 2 * EDGES[-1], 2 * EDGES[-1])
@@ -435,20 +389,20 @@
     def __init__(self, relay: "Relay") -> None:
         self.relay, self.facts, self.beat = relay, relay.facts, 0
         self.cast_at = self.busy_until = 0
-        self.voted = 0
+        self.voted = self.cast = (-1, 0, 0)      # the vote last sent, and the one known to stand
         self.new_build()
 
     def new_build(self) -> None:
-        self.heard: dict[tuple[int, int, int], list[int]] = {}   # sender, its start, first workload -> newest counts
+        self.heard: dict[tuple[int, int, int], list[int]] = {}   # sender, start, workload -> newest counts
         self.fresh: dict[int, int] = {}          # sender -> when last heard
-        self.traffic: dict[int, tuple[int, int]] = {}            # sender -> invocations of late, and before the trial
-        self.past: list[list[int] | None] = [None] * 12
-        self.verdict = self.cast = 0             # ours, and what the platform is known to hold
+        self.traffic: dict[int, tuple[int, int]] = {}            # sender -> taken of late, and before
+        self.past: list[Any] = [None] * 12       # the pool in the latest six seconds
+        self.verdict = 0
 
     def drawn(self) -> tuple[int, list[int]]:
         """How many vote, and all relays in the order that a hash of build and stage draws for them."""
         relay, seats = self.relay, max(JUDGES, *(int(self.facts[name]) for name in VOTES_NEEDED))
-        return seats, sorted(range(self.facts["relays"]), key=lambda index: -mix(relay.build, relay.stage, index))
+        return seats, sorted(range(self.facts["relays"]), key=lambda at: -mix(relay.build, relay.stage, at))
 
     def sitting(self) -> bool:
         """One of the judges, or the next in line for one that has not been heard of lately."""
@@ -463,12 +417,11 @@
         for first in range(0, rows if trial.build >= 0 and self.facts["may_tell"] else 0, 4):
             span = slice(first * ROW, min(rows, first + 4) * ROW)
             counts = [min(65535, count) for name in GROUPS for count in trial.groups[name][span]]
-            data = struct.pack(f"<HIHHH{len(counts)}H", trial.build, relay.born & 0xFFFFFFFF, first, trial.taken(),
-                               trial.taken_before, *counts)
+            data = struct.pack(f"<HIHHH{len(counts)}H", trial.build, relay.born & 0xFFFFFFFF, first,
+                               trial.taken(), trial.taken_before, *counts)
             seats, order = self.drawn()
-            for index in order[:seats + 1]:
-                if index != relay.index:
-                    relay.host.tell(index, data)
+            for index in [at for at in order[:seats + 1] if at != relay.index]:
+                relay.host.tell(index, data)
 
     def hear(self, sender: int, data: bytes) -> None:
         relay = self.relay
@@ -491,29 +444,24 @@
         return [[group[workload.row] for workload in self.relay.workloads] for group in pooled]
 
     def fails(self, canary: list[list[int]], baseline: list[list[int]]) -> bool:
-        """The crude margin, for each workload and for all of them."""
+        """The crude margin on failures that the baseline does not explain, for each workload and for all."""
         sums = [[sum(column) for column in zip(*group)] for group in (canary, baseline)]
-        for new, old in [*zip(canary, baseline), sums]:
-            outcomes, known = new[0] + new[1], old[0] + old[1]
-            expected = outcomes * old[1] / known if known else 0.0
-            if new[1] - expected > EARLY_EXCESS + EARLY_MARGIN * outcomes:
-                return True
-        return False
+        return any(new[1] - (new[0] + new[1]) * old[1] / max(1, old[0] + old[1]) > EARLY_EXCESS
+                   + EARLY_MARGIN * (new[0] + new[1]) for new, old in [*zip(canary, baseline), sums])
 
     def worse(self, pooled: list, recent: list) -> bool:
-        """Slower than the earlier build.  Departure, for a build that slows old and new units alike: where traffic
-        is what it was, all units now against the time before the trial."""
+        """Slower than the earlier build.  Departure, for a build that slows old and new units alike: while it
+        has shots and traffic is what it was, the earlier units now against the time before the trial."""
         canary, baseline, before = pooled
-        level = REJECT_AT / len(self.facts["stage_shares"])
-        if slower(canary, baseline, SLOWER, level) or sum(row[0] for row in recent[0]) < LEAST:
-            return slower(canary, baseline, SLOWER, level)
-        trial, relay = self.relay.trial, self.relay
+        level, trial, relay = REJECT_AT / len(self.facts["stage_shares"]), self.relay.trial, self.relay
+        if slower(canary, baseline, SLOWER, level):
+            return True
         traffic = [(trial.taken(), trial.taken_before)] + [
             each for sender, each in self.traffic.items() if relay.now - self.fresh[sender] < FRESH]
         taken, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
-        steady = taken / max(0.01, trial.room()) < STEADY * then / max(0.01, trial.room_before)
+        steady = taken / trial.room() < STEADY * then / trial.room_before
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
-        return steady and slower(now, before, ALL_SLOWER, level)
+        return steady and sum(row[0] for row in recent[0]) >= LEAST and slower(now, before, ALL_SLOWER, level)
 
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
@@ -524,7 +472,7 @@
         return min(max([relay.since, *starts]) + slack, relay.since + LAUNCH) + HORIZON
 
     def consider(self) -> None:
-        """Each half second: pool, judge, vote.  Also after the release: the baseline is then a remembered one."""
+        """Each half second: pool, judge, vote.  After the release too: the baseline is then remembered."""
         relay, place = self.relay, self.beat % len(self.past)
         self.beat += 1
         if relay.build != relay.trial.build or relay.phase not in (ON_TRIAL, RELEASED):
@@ -544,18 +492,16 @@
 
     def vote(self, pooled: list) -> None:
         """Cast or renew; only for the build and stage last told."""
-        relay, now, verdict = self.relay, self.relay.now, self.verdict
-        if not verdict or now < self.busy_until or not self.sitting():
-            return
-        if verdict == ON and (relay.phase != ON_TRIAL or self.facts["control"] == "timer"):
-            return
-        if self.cast == verdict and now - self.cast_at < self.facts["vote_life"] // 2:
+        relay, now, ballot = self.relay, self.relay.now, (self.relay.build, self.relay.stage, self.verdict)
+        stands = self.cast == ballot and now - self.cast_at < self.facts["vote_life"] // 2
+        if not self.verdict or stands or now < self.busy_until or not self.sitting() or (
+                self.verdict == ON and (relay.phase != ON_TRIAL or self.facts["control"] == "timer")):
             return
-        self.busy_until, self.voted = now + self.facts["vote_wait"] + SECOND // 10, verdict
-        relay.host.log(f"vote {verdict} on build {relay.build} stage {relay.stage}: " + " ".join(
+        self.busy_until, self.voted = now + self.facts["vote_wait"] + SECOND // 10, ballot
+        relay.host.log(f"vote {self.verdict} on build {relay.build} stage {relay.stage}: " + " ".join(
             f"{name}" + "".join(f" {row[0]}-{row[1]}@{median(row[2:]):.2f}" for row in group)
             for name, group in zip(GROUPS, pooled)))
-        relay.host.vote(relay.build, relay.stage, verdict)
+        relay.host.vote(*ballot)
 
     def answered(self, answer: str) -> None:
         self.busy_until = self.relay.now
@@ -571,7 +517,7 @@
 
     def __init__(self, host: Host, facts: dict[str, Any], seed: int, now: int) -> None:
         self.host, self.now, self.born, self.since = host, now, now, now
-        self.facts = {**ABSENT, **facts}
+        self.facts = ABSENT | {name: fact for name, fact in facts.items() if fact != []}
         self.chance, self.index = Chance(seed), self.facts["index"]
         self.workloads = [Workload(place, each) for place, each in enumerate(self.facts["workloads"])]
         self.units: dict[int, Unit] = {}
@@ -626,8 +572,9 @@
                       work: int, repeat: bool) -> None:
         self.usual_work += 0.01 * (work - self.usual_work) if self.usual_work else work
         size = work / self.usual_work if work else 1.0
-        invocation = self.known[number] = Invocation(
-            number, self.workloads[workload], customer, crc32(key.encode()) if key else None, give_up, size, repeat)
+        mark = crc32(key.encode()) if key else None
+        invocation = Invocation(number, self.workloads[workload], customer, mark, give_up, size, repeat)
+        self.known[number] = invocation
         self.gate.taken[workload].add(self.now)
         self.intake.forward(invocation)
 
@@ -644,13 +591,15 @@
         self.gate.backward(shot, outcome, latency)
 
     def on_started(self, number: int, place: int) -> None:
-        """An answer's stream has begun: the client has it, and nothing more may be sent."""
-        if number in self.known:
+        if number in self.known:                 # an answer's stream has begun: nothing more may be sent
             self.known[number].over = True
 
     def on_abandoned(self, number: int) -> None:
         if number in self.known and not self.known[number].over:
-            self.intake.close(self.known[number])
+            invocation, self.known[number].over = self.known[number], True
+            for place, shot in enumerate(invocation.shots):
+                if not shot.ended and self.facts["may_cancel"]:
+                    self.host.cancel(number, place)      # nobody waits for it any more
 
     def on_wake(self, token: int) -> None:
         if token == self.WAKE_BEAT:
@@ -658,8 +607,7 @@
             self.known = {number: each for number, each in self.known.items() if not each.over or each.out()}
             self.patience = max([workload.patience() for workload in self.workloads], default=SECOND)
             for unit in self.units.values():     # what is not tried again is slowly forgiven
-                unit.pace += 0.03 * (1 - unit.pace)
-                unit.failing *= 0.97
+                unit.pace, unit.failing = unit.pace + 0.03 * (1 - unit.pace), 0.97 * unit.failing
             if not any(self.on_trial(unit.build) for unit in self.units.values()):
                 self.trial.lately = [0.92 * count for count in self.trial.lately]
             self.judge.consider()
@@ -680,8 +628,10 @@
             self.judge.new_build()
         if (build, stage, phase) != earlier:
             self.since = self.now - age
-            self.judge.verdict = self.judge.cast = 0
+            self.judge.verdict = 0
 
     def on_flag(self, unit: int, workload: int, age: int) -> None:
-        if unit in self.units:
-            self.trial.flagged(self.units[unit], self.workloads[workload])
+        """A wrong answer that a client found stands for several, as few are found; some reports are false."""
+        if unit in self.units and self.units[unit].build == self.build:
+            row, weight = self.workloads[workload].row, min(3, round(1 / max(0.01, self.facts["flag_share"])))
+            self.trial.groups["canary"][row.start + 1] += weight
