--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -59,9 +59,9 @@
 class Unit:
     """A unit as this relay sees it.  A new start or another build makes a new Unit, cold again."""
 
-    def __init__(self, number: int, build: int, zone: int, cell: int, started: int, sent: Ring) -> None:
-        self.number, self.build, self.zone, self.cell, self.started = number, build, zone, cell, started
-        self.weight, self.open = 1.0, True
+    def __init__(self, number: int, build: int, started: int, sent: Ring) -> None:
+        self.number, self.build, self.started = number, build, started
+        self.weight, self.open, self.zone, self.cell = 1.0, True, 0, 0
         self.out, self.waiting = 0, 0            # our shots out there, and since when with no answer at all
         self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
         self.util, self.queue, self.load_at = 0.0, 0.0, 0
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -475,13 +475,14 @@
         """Each half second: pool, judge, vote.  After the release too: the baseline is then remembered."""
         relay, place = self.relay, self.beat % len(self.past)
         self.beat += 1
-        if relay.build != relay.trial.build or relay.phase not in (ON_TRIAL, RELEASED):
+        if not relay.workloads or relay.build < 0 or relay.phase not in (ON_TRIAL, RELEASED):
             return
         pooled = self.pool()
         old, self.past[place] = self.past[place] or [[[0] * ROW for _ in rows] for rows in pooled], pooled
         recent = [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*rows)]
                   for rows in zip(pooled, old)]
-        if self.fails(*pooled[:2]) or self.fails(recent[0], pooled[1]):
+        known = sum(row[0] + row[1] for row in pooled[1]) >= LEAST // 2    # else nothing to be held against
+        if known and (self.fails(*pooled[:2]) or self.fails(recent[0], pooled[1])):
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             if self.worse(pooled, recent):
@@ -563,8 +564,8 @@
         for number, build, state, zone, cell, weight, started in entries:
             unit = self.units.get(number)
             if unit is None or unit.build != build or unit.started < started:
-                unit = Unit(number, build, zone, cell, started, Ring(self.facts["fall_span"], BUCKETS))
-            unit.weight, unit.open = max(weight, 0.01), state == "open"
+                unit = Unit(number, build, started, Ring(self.facts["fall_span"], BUCKETS))
+            unit.weight, unit.open, unit.zone, unit.cell = max(weight, 0.01), state == "open", zone, cell
             kept[number] = unit
         self.units = {number: unit for number, unit in kept.items() if unit.open}
 
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,234 @@
+"""The votes: a story for each path, and for each way in which a verdict went wrong."""
+import random
+import unittest
+from collections import Counter
+
+from tealsail import policy
+from tests.fake import HARMLESS, SECOND, Story
+
+BACK, ON = [policy.BACK], [policy.ON]
+
+
+class Verdicts(unittest.TestCase):
+    def judged(self, canary: dict, baseline: dict, age: int = 10 * SECOND, beats: int = 1, **facts) -> list[int]:
+        story = Story(**facts)
+        story.trial(age=age)
+        story.relay.on_told(1, story.evidence(canary, baseline))
+        for _ in range(beats):
+            story.beat()
+        return story.votes()
+
+    def test_back_early_on_the_margin_before_the_horizon(self) -> None:
+        self.assertEqual(self.judged(dict(served=20, failed=8), dict(served=28), age=0), BACK)
+
+    def test_a_failure_or_two_are_no_verdict(self) -> None:
+        self.assertEqual(self.judged(dict(served=20, failed=2), dict(served=22), age=0), [])
+
+    def test_failures_that_the_baseline_shares_are_not_the_builds(self) -> None:
+        self.assertEqual(self.judged(dict(served=20, failed=8), dict(served=20, failed=8), age=0), [])
+
+    def test_back_by_rank_at_the_horizon(self) -> None:
+        self.assertEqual(self.judged(dict(served=60, bucket=5), dict(served=60, bucket=3)), BACK)
+
+    def test_on_at_the_horizon_when_alike_and_not_sooner(self) -> None:
+        alike = dict(served=60, bucket=3)
+        self.assertEqual(self.judged(alike, alike), ON)
+        story = Story()
+        story.trial()
+        story.lists([story.unit(3, 2, started=story.relay.now)], kind="changes")
+        story.relay.on_told(1, story.evidence(alike, alike))
+        story.beat()
+        self.assertEqual(story.votes(), [])
+
+    def test_thin_evidence_is_waited_out_before_on(self) -> None:
+        few = dict(served=5)
+        self.assertEqual(self.judged(few, few, age=2 * SECOND), [])
+        self.assertEqual(self.judged(few, few, age=60 * SECOND), ON)
+
+    def test_under_the_clock_no_vote_for_on(self) -> None:
+        alike = dict(served=60, bucket=3)
+        self.assertEqual(self.judged(alike, alike, control="timer"), [])
+
+    def test_lost_reordered_and_repeated_messages_heal(self) -> None:
+        story = Story()
+        story.trial(age=0)
+        early, late = (story.evidence(dict(served=n), dict(served=n)) for n in (5, 30))
+        for data in (late, early, late, b"junk", late[:-1]):
+            story.relay.on_told(1, data)
+        self.assertEqual(story.relay.judge.pool()[0][0][0], 30)
+        story.relay.on_told(1, story.evidence(dict(served=4), dict(served=4), start=99))     # restarted since
+        self.assertEqual(story.relay.judge.pool()[0][0][0], 34)
+
+    def test_a_relay_that_is_not_drawn_votes_only_for_a_silent_judge(self) -> None:
+        seats = Counter()
+        for index in range(8):
+            story = Story(relays=8, index=index)
+            story.trial(age=2 * SECOND)
+            for other in range(8):
+                story.relay.judge.fresh[other] = story.relay.now
+            seats["sitting"] += story.relay.judge.sitting()
+            story.relay.judge.fresh.clear()
+            story.later(9 * SECOND)
+            seats["alone"] += story.relay.judge.sitting()
+        self.assertEqual((seats["sitting"], seats["alone"]), (3, 4))
+
+    def test_votes_are_answered_renewed_and_never_for_an_old_stage(self) -> None:
+        story = Story(vote_life=6 * SECOND, vote_wait=SECOND)
+        story.trial()
+        story.relay.on_told(1, story.evidence(dict(served=60), dict(served=60)))
+        story.beat()
+        story.beat()
+        self.assertEqual(story.votes(), ON)                      # not again while one is under way
+        story.relay.on_vote_answer("full")
+        for _ in range(2):
+            story.beat()
+        self.assertEqual(story.votes(), ON * 2)                  # it did not count
+        story.relay.on_vote_answer("ok")
+        for _ in range(4):
+            story.beat()
+        self.assertEqual(story.votes(), ON * 2)
+        for _ in range(4):
+            story.beat()
+        self.assertEqual(story.votes(), ON * 3)                  # renewed before its life ends
+        story.relay.on_stage(2, 1, policy.ON_TRIAL, 1.0, 0)
+        story.relay.on_vote_answer("ok")
+        story.beat()
+        self.assertEqual([stage for _, stage, _ in story.host.of("vote")], [0, 0, 0])
+
+    def test_a_released_build_still_goes_back(self) -> None:
+        story = Story()
+        story.trial()
+        story.relay.on_stage(2, 1, policy.RELEASED, 1.0, 0)
+        story.relay.on_told(1, story.evidence(dict(served=100, failed=20), dict(served=100)))
+        story.beat()
+        self.assertEqual(story.votes(), BACK)
+
+
+    def test_a_build_with_nothing_to_be_held_against_is_not_judged(self) -> None:
+        story = Story()
+        for _ in range(60):
+            story.serve("error")
+        story.beat()
+        self.assertEqual(story.votes(), [])
+
+
+class Evidence(unittest.TestCase):
+    def test_the_rank_tests_sums_agree_with_scipy(self) -> None:
+        from scipy.stats import mannwhitneyu
+        chance = random.Random(3)
+        for _ in range(20):
+            groups = [[chance.randrange(8) + shift for _ in range(chance.randrange(20, 60))] for shift in (1, 0)]
+            counts = [[group.count(bucket) for bucket in range(9)] for group in groups]
+            over, variance = policy.rank_test(*counts)
+            known = mannwhitneyu(*groups, alternative="greater", method="asymptotic", use_continuity=False)
+            self.assertAlmostEqual(over + len(groups[0]) * len(groups[1]) / 2, known.statistic)
+            self.assertAlmostEqual(policy.erfc(over / policy.sqrt(2 * variance)) / 2, known.pvalue)
+
+    def test_baseline_is_an_equal_slice(self) -> None:
+        story = Story(units=8, free_shots=100)
+        story.trial()
+        for _ in range(400):
+            story.serve()
+        canary, baseline, _ = ([row[0] for row in group] for group in story.relay.judge.pool())
+        self.assertGreater(canary[0], 20)
+        self.assertLessEqual(abs(canary[0] - baseline[0]), 3)
+
+    def test_shots_still_out_when_a_build_comes_are_not_its_canary(self) -> None:
+        story = Story()
+        out = [story.take() for _ in range(6)]
+        story.trial(many=0)
+        for number in out:
+            story.comes(number, "served", latency=9 * SECOND)
+        self.assertEqual(sum(story.relay.trial.groups["canary"]), 0)
+
+    def test_a_cold_units_times_count_by_its_warmth_and_not_at_all_at_first(self) -> None:
+        story = Story(units=1)
+        story.relay.on_stage(2, 0, policy.ON_TRIAL, 1.0, 0)
+        story.lists([story.unit(0, 2, started=story.relay.now)])
+        story.serve(latency=3000)
+        row = story.relay.trial.groups["canary"]
+        self.assertEqual((row[0], sum(row[2:])), (1, 0))
+        story.later(3 * SECOND)
+        story.serve(latency=3000)
+        self.assertEqual((row[2 + 3], sum(row[2:])), (1, 1))     # 0.3 of the promise, by 0.825: under 0.26
+
+    def test_errors_of_one_canary_unit_count_unless_earlier_units_fail_too(self) -> None:
+        for elsewhere, counted in ((0.0, True), (0.9, False)):
+            story = Story(units=6)
+            story.trial(many=3)
+            units = list(story.relay.units.values())
+            units[5].failing, units[0].failing = 0.9, elsewhere
+            self.assertEqual(story.relay.choice.stands_out(units[5]), not counted)
+
+    def test_wrong_answers_found_by_clients_count_as_failures(self) -> None:
+        story = Story(flag_share=0.15)
+        story.trial()
+        for _ in range(2):
+            story.relay.on_flag(3, 0, 0)
+        story.relay.on_flag(0, 0, 0)                             # an earlier unit's
+        self.assertEqual(story.relay.trial.groups["canary"][1], 6)
+
+    def test_all_units_slower_than_before_the_trial_is_the_builds_fault_if_traffic_is_steady(self) -> None:
+        for rise, votes in ((1, BACK), (2, ON)):
+            story = Story()
+            for _ in range(60):
+                story.serve(latency=1500)
+            story.trial()
+            story.relay.trial.taken_before = 60
+            for _ in range(60 * rise):
+                story.relay.admission.taken.add(story.relay.now)
+            story.relay.admission.taken.total = lambda now, rise=rise: 60 * rise
+            slow = dict(served=40, bucket=5)
+            story.relay.on_told(1, story.evidence(slow, slow))
+            story.beat()
+            self.assertEqual(story.votes(), votes)
+
+
+class Serving(unittest.TestCase):
+    def test_a_silent_unit_rests_and_is_tried_again_with_one_shot(self) -> None:
+        story = Story(units=2)
+        unit = story.relay.units[0]
+        for _ in range(30):
+            number = story.take()
+            silent = story.sent(number)[0] == 0
+            story.comes(number, "cancelled" if silent else "served", latency=SECOND if silent else 1000)
+            if silent:
+                story.comes(number, "served", place=1)
+        self.assertLess(story.sent().count(0), 5)
+        story.later(unit.rest_until)
+        self.assertTrue(story.relay.choice.fit(unit))
+        unit.out = 1
+        self.assertFalse(story.relay.choice.fit(unit))
+
+    def test_late_answers_shrink_the_limit_and_it_grows_again(self) -> None:
+        story = Story()
+        for _ in range(60):
+            story.serve(latency=2 * SECOND)
+        self.assertLess(story.relay.admission.limit, 4)
+        for _ in range(30):
+            for number in [story.take(), story.take()]:
+                story.comes(number, "served")
+        self.assertGreater(story.relay.admission.limit, 4)
+
+    def test_a_customer_beyond_its_share_finds_less_room(self) -> None:
+        story = Story(customers=[dict(share=0.5), dict(share=0.5)])
+        for each in range(100):
+            story.serve(customer=int(each < 10))
+        first, second = (story.take(customer=customer) for customer in (0, 1))
+        part = story.relay.admission.part
+        self.assertLess(part(story.relay.known[first]), part(story.relay.known[second]))
+
+    def test_settings_absent_or_not_seen_before_do_no_harm(self) -> None:
+        for facts in (dict(control="quorum", caps=[]), dict(stage_shares=[]), dict(relays=1)):
+            story = Story(workloads=(dict(),), **facts)
+            story.trial()
+            for _ in range(10):
+                story.serve()
+                story.beat()
+            self.assertTrue(story.sent())
+        bare = policy.Relay(Story().host, {}, 1, 0)
+        bare.on_wake(bare.WAKE_BEAT)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,177 @@
+"""The five rules at the gate: a story for each way in which one was, or could be, broken."""
+import unittest
+
+from tealsail import policy
+from tests.fake import HARMLESS, ONE_SHOT, SECOND, STAMPED, Story
+
+
+class EveryInvocationIsAnswered(unittest.TestCase):
+    def test_the_timeout_at_the_abandon_time_ends_in_a_forfeit(self) -> None:
+        story = Story(workloads=(ONE_SHOT,))
+        number = story.take()
+        story.later(4 * SECOND)
+        story.comes(number, "timeout", latency=4 * SECOND)
+        self.assertEqual(story.host.of("forfeit"), [(number,)])
+
+    def test_with_no_unit_it_is_rejected_at_once(self) -> None:
+        story = Story(units=0)
+        number = story.take()
+        self.assertEqual([each[0] for each in story.host.of("reject")], [number])
+
+    def test_nothing_is_sent_after_the_client_has_gone(self) -> None:
+        story = Story()
+        number = story.take()
+        story.relay.on_abandoned(number)
+        story.comes(number, "error")
+        self.assertEqual(len(story.sent(number)), 1)
+        self.assertEqual(story.host.of("cancel"), [(number, 0)])
+        self.assertFalse(story.host.of("forfeit") + story.host.of("reject"))
+
+    def test_an_outcome_may_follow_the_end(self) -> None:
+        story = Story()
+        number = story.take()
+        story.comes(number, "served")
+        story.relay.on_abandoned(number)
+        story.beat()
+        story.comes(number, "cancelled")
+        self.assertFalse(story.host.of("forfeit") + story.host.of("reject"))
+
+
+class NoEffectTwice(unittest.TestCase):
+    def test_a_one_shot_that_may_have_run_is_neither_repeated_nor_rejected(self) -> None:
+        for outcome in ("error", "reset", "timeout"):
+            story = Story(workloads=(ONE_SHOT,))
+            number = story.take()
+            story.comes(number, outcome)
+            self.assertEqual(len(story.sent(number)), 1)
+            self.assertEqual(story.host.of("forfeit"), [(number,)])
+
+    def test_a_one_shot_proved_not_to_have_run_goes_out_again(self) -> None:
+        story = Story(workloads=(ONE_SHOT,))
+        number = story.take()
+        story.comes(number, "full")
+        self.assertEqual(len(story.sent(number)), 2)
+        story.comes(number, "error", place=1)
+        self.assertEqual(story.host.of("forfeit"), [(number,)])
+
+    def test_a_stamped_one_stays_in_its_group_and_in_its_time(self) -> None:
+        story = Story(workloads=(STAMPED,))
+        story.lists([story.unit(number, zone=number) for number in range(4)])
+        number = story.take()
+        story.comes(number, "error")
+        self.assertEqual(len(set(story.sent(number))), 1)
+        late = story.take()
+        story.later(2 * SECOND)
+        story.comes(late, "error")
+        self.assertEqual(len(story.sent(late)), 1)
+        self.assertEqual(story.host.of("forfeit"), [(late,)])
+
+    def test_a_late_shot_of_a_silent_unit_is_called_off_before_another(self) -> None:
+        story = Story(two_shots=False)
+        number = story.take()
+        story.later(SECOND)
+        story.relay.on_wake(story.relay.WAKE_LATE + number)
+        self.assertEqual((story.host.of("cancel"), len(story.sent(number))), ([(number, 0)], 1))
+        story.comes(number, "cancelled", latency=SECOND)
+        self.assertEqual(len(story.sent(number)), 2)
+
+
+class DrainsAreKept(unittest.TestCase):
+    def test_draining_gone_and_missing_units_get_nothing(self) -> None:
+        story = Story(units=4)
+        story.lists([story.unit(0, state="draining"), story.unit(1, state="gone")], kind="changes")
+        story.lists([story.unit(0, state="draining"), story.unit(2)])
+        for _ in range(20):
+            story.serve()
+        self.assertEqual(set(story.sent()), {2})
+
+    def test_a_list_that_answers_when_asked_is_asked_at_the_start_and_after_a_failure(self) -> None:
+        story = Story(list_mode="on_request")
+        self.assertEqual(len(story.host.of("watch_list")), 1)
+        story.lists([], kind="failed")
+        self.assertTrue(story.relay.units)
+        story.relay.on_wake(story.relay.WAKE_LIST)
+        self.assertEqual(len(story.host.of("watch_list")), 2)
+
+
+class NoColdUnitIsPushedOver(unittest.TestCase):
+    def test_a_cold_unit_gets_less_than_its_warm_peers_and_no_burst(self) -> None:
+        story = Story(units=4)
+        for _ in range(60):
+            story.serve()
+        story.lists([story.unit(number, started=story.relay.now * (number == 3)) for number in range(4)])
+        for _ in range(60):
+            story.serve()
+        cold = story.sent()[60:].count(3)
+        self.assertLess(cold, 10)
+        self.assertGreater(cold, 0)
+
+    def test_with_nothing_but_cold_units_most_is_rejected(self) -> None:
+        story = Story(units=2)
+        story.lists([story.unit(number, started=story.relay.now) for number in range(2)])
+        for _ in range(200):
+            story.take()
+        self.assertLess(len(story.sent()), 100)
+
+
+class ExposureStaysWithinTheCap(unittest.TestCase):
+    def shots(self, story: Story, many: int = 100) -> int:
+        for _ in range(many):
+            story.serve()
+            story.later(SECOND // 100)
+        return sum(unit == 3 for unit in story.sent())
+
+    def test_a_build_that_no_news_has_named_counts_as_in_stage_0(self) -> None:
+        story = Story(caps=[0.1, 1.0])
+        story.lists([story.unit(number, 2 if number == 3 else 1) for number in range(4)])
+        shots = self.shots(story)
+        self.assertLessEqual(shots, 1 + 10)
+        self.assertGreater(shots, 3)
+
+    def test_at_cap_0_nothing_goes_to_it_even_if_nothing_else_is_left(self) -> None:
+        story = Story()
+        story.relay.on_stage(2, 0, policy.ON_TRIAL, 0.0, 0)
+        story.lists([story.unit(number, 2) for number in range(4)])
+        self.assertEqual((self.shots(story), story.sent()), (0, []))
+
+    def test_a_lowered_cap_binds_after_the_grace_where_nothing_else_runs(self) -> None:
+        story = Story()
+        story.lists([story.unit(number, 2) for number in range(4)])
+        story.relay.on_stage(2, 1, policy.ON_TRIAL, 1.0, 0)
+        story.relay.on_stage(2, 1, policy.GOING_BACK, 0.0, 0)
+        self.assertNotEqual(story.serve(), -1)
+        story.later(SECOND)
+        self.assertEqual(story.serve(), -1)
+
+    def test_each_workload_by_itself_where_the_settings_say_so(self) -> None:
+        story = Story(workloads=(HARMLESS, HARMLESS), exposure_per="class", free_shots=0)
+        story.lists([story.unit(number, 2) for number in range(4)])
+        story.relay.on_stage(2, 0, policy.ON_TRIAL, 0.5, 0)
+        for _ in range(40):
+            story.take(workload=0)
+        before = len(story.sent())
+        story.later(SECOND // 2)
+        self.assertEqual((story.serve(workload=1), len(story.sent())), (-1, before))
+
+    def test_early_stages_guarded_against_effects(self) -> None:
+        story = Story(workloads=(ONE_SHOT,), guarded_stages=1)
+        story.lists([story.unit(number, 2) for number in range(4)])
+        story.relay.on_stage(2, 0, policy.ON_TRIAL, 0.5, 0)
+        self.assertEqual([story.serve() for _ in range(5)], [-1] * 5)
+
+    def test_a_key_that_the_new_build_has_answered_does_not_go_back(self) -> None:
+        story = Story(one_way=True, free_shots=50)
+        story.relay.on_stage(2, 0, policy.ON_TRIAL, 1.0, 0)
+        story.lists([story.unit(0, 2)])
+        self.assertEqual(story.serve(key="a"), 0)
+        story.lists([story.unit(0, 2), story.unit(1, 1)])
+        self.assertEqual({story.serve(key="a") for _ in range(20)}, {0})
+
+    def test_the_trial_keeps_a_tenth_back_while_earlier_units_can_take_the_rest(self) -> None:
+        story = Story(free_shots=0, caps=[0.2, 1.0])
+        story.relay.on_stage(2, 0, policy.ON_TRIAL, 0.2, 0)
+        story.lists([story.unit(number, 1 if number == 0 else 2) for number in range(4)])
+        for _ in range(100):
+            story.serve()
+            story.later(SECOND // 100)
+        self.assertLessEqual(sum(unit != 0 for unit in story.sent()), 18)
