--- a/tealsail/adapter/frames.py
+++ b/tealsail/adapter/frames.py
@@ -70,7 +70,8 @@
             "TIMER": lambda relay, f: relay.on_wake(int(f["ctx"])),
             "HEARD": lambda relay, f: relay.on_told(int(f["originPeer"]), unhex(f["payload"])),
             "STAGE": self.stage,
-            "RETURNED": lambda relay, f: relay.on_flag(int(f["unit"]), int(f["grade"]), words.tenths(f["old"])),
+            "RETURNED": lambda relay, f: relay.on_flag(
+                int(f["unit"]), int(f["grade"]), words.tenths(f["old"])),
         }
 
     def event(self, name: str, f: Fields) -> None:
@@ -183,8 +184,8 @@
         except BadInput as problem:
             print(f"tealsail.adapter: line {number}: {problem}", file=complaints)
             return 2
-        except UnicodeDecodeError:
-            print(f"tealsail.adapter: line {number}: not UTF-8", file=complaints)
+        except (KeyError, ValueError) as problem:            # a bad TURN, or bytes that are not UTF-8
+            print(f"tealsail.adapter: line {number}: {type(problem).__name__}: {problem}", file=complaints)
             return 2
     return 0
 
--- a/tealsail/adapter/words.py
+++ b/tealsail/adapter/words.py
@@ -28,13 +28,14 @@
     "domain.warmKeys": "warm_keys", "domain.tallyEvery": "tally_every", "domain.sample": "tally_sample",
     "domain.repeatEvery": "news_every",
     "limits.cancel": "may_cancel", "limits.maxAttempts": "most_shots", "limits.parallelTries": "two_shots",
-    "limits.retryAfter": "may_advise", "limits.maxRetryAfter": "longest_advice", "limits.mayTell": "may_tell",
-    "limits.probes": "may_probe", "limits.openCap": "most_open",
+    "limits.retryAfter": "may_advise", "limits.maxRetryAfter": "longest_advice",
+    "limits.mayTell": "may_tell", "limits.probes": "may_probe", "limits.openCap": "most_open",
     "rules.answerSlack": "answer_slack", "rules.askWithin": "ask_within", "rules.coldFrom": "cold_from",
     "rules.drainGrace": "drain_grace", "rules.fallMultiple": "fall_multiple",
     "rules.overloadFor": "fall_span", "rules.warmUp": "warm_up",
     "charges.crossZone": "zone_price", "charges.waste": "waste_price", "charges.lateFail": "late_price",
-    "charges.peer": "tell_price", "feedback.fields": "load_fields", "feedback.via": "load_via", "tick": "tick",
+    "charges.peer": "tell_price", "feedback.fields": "load_fields", "feedback.via": "load_via",
+    "tick": "tick",
 }
 # settings that are times: how to round them so that no limit is overstepped
 TIMES = {name: floor for name in ("promised", "abandon", "memory", "bake", "step", "vote_life", "vote_wait",
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -86,7 +86,8 @@
 
 
 class Shot:
-    def __init__(self, invocation: Invocation, unit: Unit, now: int, group: list[int] | None, warmth: float) -> None:
+    def __init__(self, invocation: Invocation, unit: Unit, now: int, group: list[int] | None,
+                 warmth: float) -> None:
         self.invocation, self.unit, self.sent, self.group, self.warmth = invocation, unit, now, group, warmth
         self.ended = self.never_ran = False
 
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -60,7 +60,7 @@
 
     def forward(self, invocation: Invocation) -> None:
         self.purse = min(20.0, self.purse + (0 if invocation.shots else self.FURTHER))
-        if not (self.relay.now < invocation.give_up and self.next.forward(invocation)):
+        if not self.next.forward(invocation):
             self.end(invocation)
 
     def end(self, invocation: Invocation) -> None:
