--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -33,7 +33,7 @@
 ALL_SLOWER, STEADY = 1.6, 1.1                    # the same against the time before, and traffic's rise
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
-UNLISTED = 2 * SECOND                            # later still while units of the stage seem to be missing
+LISTED = 0.7                                     # of a stage's units are to be seen before its horizon counts
 LAUNCH = 8 * SECOND                              # by then a stage's units have started, or never will
 PATIENCE = 5 * SECOND                            # how long past the horizon thin evidence is waited out
 FRESH = 3 * SECOND                               # a judge not heard of for so long is taken for dead
@@ -241,7 +241,7 @@
         others = [other.failing for other in units if other.build == unit.build and other is not unit]
         elsewhere = [other.failing for other in units if other.build != unit.build]
         return (unit.failing > 0.3 and unit.failing > 3 * sum(others) / max(1, len(others))
-                and (max(elsewhere, default=1) > 0.3 or not self.relay.on_trial(unit.build)))
+                and (max(elsewhere, default=1) > 0.1 or not self.relay.on_trial(unit.build)))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         unit, now, workload = shot.unit, self.relay.now, shot.invocation.workload
@@ -467,9 +467,10 @@
         """The horizon: after the newest listed start of a unit of this build."""
         relay, shares = self.relay, self.facts["stage_shares"]
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
-        wanted = int(shares[min(relay.stage, len(shares) - 1)] * len(relay.units))
-        slack = 0 if len(starts) >= max(1, wanted) else UNLISTED
-        return min(max([relay.since, *starts]) + slack, relay.since + LAUNCH) + HORIZON
+        wanted = max(1, LISTED * shares[min(relay.stage, len(shares) - 1)] * len(relay.units))
+        # With most of a stage's units unseen, the list is stale and what other units show is no evidence for it.
+        slack = 0 if len(starts) >= int(wanted) else 2 * LAUNCH
+        return max([relay.since + slack, *(min(start, relay.since + LAUNCH) for start in starts)]) + HORIZON
 
     def consider(self) -> None:
         """Each half second: pool, judge, vote.  After the release too: the baseline is then remembered."""
