--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -235,13 +235,13 @@
             unit.out and (unit.rest or now - unit.waiting > self.relay.patience))
 
     def stands_out(self, unit: Unit) -> bool:
-        """Its errors are its own: its build's other units do much better and, for a build on trial, earlier
-        units fail too.  Few that fail in that alone count against it: a build may turn bad with their age."""
+        """Its errors are its own: its build's other units do much better and earlier units fail too or, with
+        none left, under a third of the build's.  Few that fail in a build on trial alone count against it."""
         units = self.relay.units.values()
         others = [other.failing for other in units if other.build == unit.build and other is not unit]
         elsewhere = [other.failing for other in units if other.build != unit.build]
-        return (unit.failing > 0.3 and unit.failing > 3 * sum(others) / max(1, len(others))
-                and (max(elsewhere, default=1) > 0.1 or not self.relay.on_trial(unit.build)))
+        few = max(elsewhere) > 0.1 if elsewhere else 3 * sum(each > 0.05 for each in others) < len(others)
+        return few and unit.failing > 3 * sum(others) / max(1, len(others))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         unit, now, workload = shot.unit, self.relay.now, shot.invocation.workload
