--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -100,7 +100,7 @@
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time.  What pays little for its time, or is of a customer beyond its share, has less room.  Guards
     against overload whatever its cause; could harm where answers are late by nature."""
-    LATE, RISE = 0.8, 0.15                       # late: of the promised time; a late answer costs 1
+    LATE, RISE = 0.6, 0.15                       # late: of the promised time; a late answer costs 1
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -468,7 +468,7 @@
         relay, shares = self.relay, self.facts["stage_shares"]
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
         wanted = max(1, LISTED * shares[min(relay.stage, len(shares) - 1)] * len(relay.units))
-        # With most of a stage's units unseen, the list is stale and what other units show is no evidence for it.
+        # With most of a stage's units unseen, the list is stale: what other units show is no evidence for it.
         slack = 0 if len(starts) >= int(wanted) else 2 * LAUNCH
         return max([relay.since + slack, *(min(start, relay.since + LAUNCH) for start in starts)]) + HORIZON
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -5,9 +5,10 @@
 
 from tealsail.adapter.frames import serve
 
-START = "ENLIST relay=3 rngSeed=5 requestClasses.count=1 requestClasses.0.effect=read_like limits.maxAttempts=3\n"
-UNITS = ("DEFINE_LIST slot=0 hosts=2\nENTRY unit=8 release=1 stageState=IN\nENTRY unit=9 release=1 stageState={}\n"
-         "TOPOLOGY relay=3 form=whole stamp=1 slot=0\n")
+START = ("ENLIST relay=3 rngSeed=5 requestClasses.count=1 requestClasses.0.effect=read_like "
+         "limits.maxAttempts=3\n")
+UNITS = ("DEFINE_LIST slot=0 hosts=2\nENTRY unit=8 release=1 stageState=IN\n"
+         "ENTRY unit=9 release=1 stageState={}\nTOPOLOGY relay=3 form=whole stamp=1 slot=0\n")
 
 
 def reply(events: str) -> tuple[int, list[str], str]:
@@ -31,7 +32,8 @@
         for events, said in ((START + "TIMER relay=3\n", "line 3: TIMER: no or unknown 'ctx'"),
                              ("timer relay=3 ctx=1\n", "line 2: unknown message name 'timer'"),
                              ("TIMER relay\n", "line 2: TIMER: 'relay' is not name=value"),
-                             ("TIMER relay=3 ctx=1\n", "line 2: TIMER for relay 3, which has not been started"),
+                             ("TIMER relay=3 ctx=1\n",
+                              "line 2: TIMER for relay 3, which has not been started"),
                              ("TURN moment=11\n", "line 2: TURN inside a batch")):
             code, lines, complaints = reply(events)
             self.assertEqual((code, lines, complaints), (2, [""], f"tealsail.adapter: {said}\n"))
