--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -100,7 +100,7 @@
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time.  What pays little for its time, or is of a customer beyond its share, has less room.  Guards
     against overload whatever its cause; could harm where answers are late by nature."""
-    LATE, RISE = 0.6, 0.15                       # late: of the promised time; a late answer costs 1
+    LATE, RISE = 0.8, 0.08                       # late: of the promised time; a late answer costs 1
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
