--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -30,7 +30,7 @@
 JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 3.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
-ALL_SLOWER, STEADY = 1.8, 1.1                    # the same against the time before, and traffic's rise
+ALL_SLOWER = 1.7                                 # against the time before, times the square of traffic's rise
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
 LISTED = 0.7                                     # of a stage's units are to be seen before its horizon counts
@@ -100,7 +100,7 @@
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time.  What pays little for its time, or is of a customer beyond its share, has less room.  Guards
     against overload whatever its cause; could harm where answers are late by nature."""
-    LATE, RISE = 0.8, 0.08                       # late: of the promised time; a late answer costs 1
+    LATE, RISE = 0.8, 0.1                        # late: of the promised time; a late answer costs 1
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -159,8 +159,8 @@
     def taken(self) -> int:
         return min(65535, int(self.relay.admission.taken.total(self.relay.now)))
 
-    def room(self) -> float:                     # the capacity that answers
-        return sum(unit.weight for unit in self.relay.units.values() if self.relay.choice.fit(unit)) or 0.01
+    def room(self) -> float:
+        return sum(unit.weight for unit in self.relay.units.values()) or 0.01
 
     def forward(self, invocation: Invocation) -> bool:
         relay = self.relay
@@ -450,8 +450,8 @@
                    + EARLY_MARGIN * (new[0] + new[1]) for new, old in [*zip(canary, baseline), sums])
 
     def worse(self, pooled: list, recent: list) -> bool:
-        """Slower than the earlier build.  Departure, for a build that slows old and new units alike: while it
-        has shots and traffic is what it was, the earlier units now against the time before the trial."""
+        """Slower than the earlier build.  Departure, for a build that slows old and new units alike: while
+        it has shots, the earlier units now against the time before, more than a rise of traffic explains."""
         canary, baseline, before = pooled
         level, trial, relay = REJECT_AT / len(self.facts["stage_shares"]), self.relay.trial, self.relay
         if slower(canary, baseline, SLOWER, level):
@@ -459,9 +459,9 @@
         traffic = [(trial.taken(), trial.taken_before)] + [
             each for sender, each in self.traffic.items() if relay.now - self.fresh[sender] < FRESH]
         taken, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
-        steady = taken / trial.room() < STEADY * then / trial.room_before
+        rise = max(1.0, taken / trial.room() / (then or 0.01) * trial.room_before)
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
-        return steady and sum(row[0] for row in recent[0]) >= LEAST and slower(now, before, ALL_SLOWER, level)
+        return sum(row[0] for row in recent[0]) >= LEAST and slower(now, before, ALL_SLOWER * rise ** 2, level)
 
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
