--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -131,7 +131,7 @@
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, latency_for_size = shot.invocation.workload, latency / max(1.0, shot.invocation.size)
         late = latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent
-        if late or outcome == "full":            # a silent unit's time-outs say nothing of load
+        if late:                                 # not: a silent unit's time-outs, a drained unit's "full"
             self.limit = max(3.0, self.limit - 1)
         elif outcome == "served" and self.out() + 1 > 0.5 * self.limit:
             self.limit += self.RISE
@@ -255,10 +255,10 @@
             unit.pace += 0.1 * (min(8.0, 8.0 if late else times) - unit.pace)
         if outcome == "served":
             unit.rest = 0
-        elif outcome in ("unreachable", "reset") or (late and unit.waiting <= shot.sent) \
+        elif outcome in ("unreachable", "reset", "full") or (late and unit.waiting <= shot.sent) \
                 or (outcome == "error" and self.stands_out(unit)):
             unit.rest = min(self.LONGEST_REST, 2 * unit.rest or self.REST)
-            unit.rest_until = now + unit.rest    # dead, silent or failing on its own: it rests, longer
+            unit.rest_until = now + unit.rest    # dead, drained, silent or failing alone: it rests
         super().backward(shot, outcome, latency)
 
 
@@ -461,7 +461,8 @@
         taken, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
         rise = max(1.0, taken / trial.room() / (then or 0.01) * trial.room_before)
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
-        return sum(row[0] for row in recent[0]) >= LEAST and slower(now, before, ALL_SLOWER * rise ** 2, level)
+        seen = sum(row[0] for row in recent[0])
+        return seen >= LEAST and slower(now, before, ALL_SLOWER * rise ** 2, level)
 
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
@@ -469,7 +470,7 @@
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
         wanted = max(1, LISTED * shares[min(relay.stage, len(shares) - 1)] * len(relay.units))
         # With most of a stage's units unseen, the list is stale: what other units show is no evidence for it.
-        slack = 0 if len(starts) >= int(wanted) else 2 * LAUNCH
+        slack = 0 if len(starts) >= wanted else 2 * LAUNCH
         return max([relay.since + slack, *(min(start, relay.since + LAUNCH) for start in starts)]) + HORIZON
 
     def consider(self) -> None:
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -233,6 +233,18 @@
                 story.comes(number, "served")
         self.assertGreater(story.relay.admission.limit, 4)
 
+    def test_a_drained_unit_that_the_list_still_names_rests_and_costs_no_room(self) -> None:
+        story = Story(units=2)
+        limit = story.relay.admission.limit
+        for _ in range(40):
+            number = story.take()
+            for place, unit in enumerate(story.sent(number)):
+                story.comes(number, "full" if unit == 0 else "served", place=place)
+            if len(story.sent(number)) == 2:
+                story.comes(number, "served", place=1)
+        self.assertEqual(story.relay.admission.limit, limit)
+        self.assertLess(story.sent().count(0), 5)
+
     def test_a_customer_beyond_its_share_finds_less_room(self) -> None:
         story = Story(customers=[dict(share=0.5), dict(share=0.5)])
         for each in range(100):
