--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -28,9 +28,9 @@
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # and the buckets of every ring of time
 TRIAL_PART = 0.9                                 # of the allowance, while earlier units can take the rest
 JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
-EARLY_MARGIN, EARLY_EXCESS = 0.015, 3.0          # back early: failures over what the baseline explains
+EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
-ALL_SLOWER = 1.7                                 # against the time before, times the square of traffic's rise
+ALL_SLOWER, ALSO_SLOWER = 1.7, 1.2       # over before: earlier units, by traffic's rise squared; canary
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
 LISTED = 0.7                                     # of a stage's units are to be seen before its horizon counts
@@ -461,8 +461,8 @@
         taken, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
         rise = max(1.0, taken / trial.room() / (then or 0.01) * trial.room_before)
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
-        seen = sum(row[0] for row in recent[0])
-        return seen >= LEAST and slower(now, before, ALL_SLOWER * rise ** 2, level)
+        return (slower(recent[0], before, ALSO_SLOWER, level)
+                and slower(now, before, ALL_SLOWER * rise ** 2, level))
 
     def due(self) -> int:
         """The horizon: after the newest listed start of a unit of this build."""
