--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -27,6 +27,7 @@
 EDGES = (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # and the buckets of every ring of time
 TRIAL_PART = 0.9                                 # of the allowance, while earlier units can take the rest
+BEAR = 1.3                                       # over its even share a unit can take so much for a while
 JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
@@ -75,14 +76,13 @@
     def overdue(self, invocation: Invocation) -> None:
         """A shot later than its kind, whose unit has answered nothing since, is called off for another one.
         Guards against hung, dead and very slow units; a unit that answers others is waited for."""
-        late = [place for place, shot in enumerate(invocation.shots) if not shot.ended]
-        if late and not invocation.over:
-            shot = invocation.shots[late[0]]
+        shot = invocation.shots[-1]
+        if not shot.ended and not invocation.over:
+            again = self.relay.now + invocation.workload.patience() // 2
             if shot.unit.waiting <= shot.sent and self.purse >= 1:
-                self.relay.host.cancel(invocation.number, late[0])
+                self.relay.host.cancel(invocation.number, len(invocation.shots) - 1)
             else:
-                self.relay.host.wake(self.relay.now + invocation.workload.patience() // 2,
-                                     self.relay.WAKE_LATE + invocation.number)
+                self.relay.host.wake(again, self.relay.WAKE_LATE + invocation.number)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         invocation = shot.invocation
@@ -90,8 +90,7 @@
         if invocation.over:
             return
         self.purse = max(-1.0, self.purse - (not shot.never_ran))
-        if self.purse < 0 or len(invocation.shots) >= self.facts["most_shots"] \
-                or not self.relay.gate.may_repeat(invocation):
+        if self.purse < 0 or not self.relay.gate.may_repeat(invocation):
             return self.end(invocation)
         self.forward(invocation)
 
@@ -154,24 +153,24 @@
         self.build, self.owed = build, 0.0       # how far the canary group is ahead of the baseline
         self.groups = {name: [0] * len(self.lately) for name in GROUPS}
         self.groups["before"] = [int(count) for count in self.lately]
-        self.taken_before, self.room_before = self.taken(), self.room()
+        self.taken_before, self.room_before = self.taken(), self.relay.room()
 
     def taken(self) -> int:
         return min(65535, int(self.relay.admission.taken.total(self.relay.now)))
 
-    def room(self) -> float:
-        return sum(unit.weight for unit in self.relay.units.values()) or 0.01
-
     def forward(self, invocation: Invocation) -> bool:
         relay = self.relay
         new = [unit for unit in relay.units.values() if relay.on_trial(unit.build)]
         old = [unit for unit in relay.units.values() if not relay.on_trial(unit.build)]
-        wanted = bool(new and old) and not invocation.shots and relay.judge.verdict != BACK
-        if wanted:                               # further shots keep off it, and all once we are for back
+        wanted = bool(new and old) and not invocation.shots      # further shots keep off the build on trial
+        if wanted:
             mine, others = (sum(unit.weight * relay.warmth(unit) for unit in side) for side in (new, old))
             slow, usual = (sum(unit.pace for unit in side) / len(side) for side in (new, old))
-            wanted = (relay.chance.share() < mine / (mine + others * max(1.0, slow / usual))
-                      and relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1)
+            share = mine / (mine + others * max(1.0, slow / usual))
+            if relay.judge.verdict == BACK or relay.phase == GOING_BACK:
+                share = max(0.0, 1 - BEAR * (1 - share))     # earlier units get what they can bear
+            wanted = relay.chance.share() < share and \
+                relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1
         # Departure: what earlier units cannot take (none left, cold ones full) may use the whole allowance.
         return any(self.next.forward(invocation, side) for side in ((new, old) if wanted else (old, new)))
 
@@ -191,9 +190,9 @@
         bucket = workload.row.start + 2 + sum(times > edge for edge in EDGES)
         # Left out: one client's repeats where they are marked, and a unit's errors that are not its build's.
         if shot.group and not shot.invocation.repeat:
-            failed = outcome == "error" and not self.relay.choice.stands_out(unit)
+            own = unit.build == self.build and self.relay.choice.stands_out(unit)
             shot.group[workload.row.start] += outcome == "served"
-            shot.group[workload.row.start + 1] += failed
+            shot.group[workload.row.start + 1] += outcome == "error" and not own
             # Past its first 2 s a cold unit's times count by its warmth: the least that it can be.
             if outcome == "served" and self.relay.now - unit.started > SKIP:
                 shot.group[bucket] += 1
@@ -298,8 +297,8 @@
 
     # No invocation is lost, and nothing is sent for one that is over.
     def answerable(self, invocation: Invocation) -> bool:
-        return (not invocation.over and self.relay.now < invocation.give_up
-                and len(invocation.shots) < self.facts["most_shots"])
+        shots_left = len(invocation.shots) < self.facts["most_shots"]
+        return shots_left and not invocation.over and self.relay.now < invocation.give_up
 
     # No effect twice: what may have run goes out again, or is rejected, only as its workload allows.
     def may_repeat(self, invocation: Invocation, unit: Unit | None = None) -> bool:
@@ -342,9 +341,8 @@
         if not relay.on_trial(unit.build):
             return True
         stage = relay.stage if unit.build == relay.build else 0
-        if stage < self.facts["guarded_stages"] and invocation.workload.effect != "harmless":
-            return False
-        return relay.cap(unit.build) > 0 and self.allowance(invocation, unit.build) >= 1
+        guarded = stage < self.facts["guarded_stages"] and invocation.workload.effect != "harmless"
+        return not guarded and relay.cap(unit.build) > 0 and self.allowance(invocation, unit.build) >= 1
 
     def allowance(self, invocation: Invocation, build: int, part: float = 1.0) -> float:
         """Shots at a build that are left in the window (partial oldest buckets count against us)."""
@@ -396,8 +394,7 @@
         self.heard: dict[tuple[int, int, int], list[int]] = {}   # sender, start, workload -> newest counts
         self.fresh: dict[int, int] = {}          # sender -> when last heard
         self.traffic: dict[int, tuple[int, int]] = {}            # sender -> taken of late, and before
-        self.past: list[Any] = [None] * 12       # the pool in the latest six seconds
-        self.verdict = 0
+        self.past, self.verdict = [None] * 12, 0         # the pool in the latest six seconds; what we are for
 
     def drawn(self) -> tuple[int, list[int]]:
         """How many vote, and all relays in the order that a hash of build and stage draws for them."""
@@ -459,7 +456,7 @@
         traffic = [(trial.taken(), trial.taken_before)] + [
             each for sender, each in self.traffic.items() if relay.now - self.fresh[sender] < FRESH]
         taken, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
-        rise = max(1.0, taken / trial.room() / (then or 0.01) * trial.room_before)
+        rise = max(1.0, taken / relay.room() / (then or 0.01) * trial.room_before)
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
         return (slower(recent[0], before, ALSO_SLOWER, level)
                 and slower(now, before, ALL_SLOWER * rise ** 2, level))
@@ -497,8 +494,8 @@
         """Cast or renew; only for the build and stage last told."""
         relay, now, ballot = self.relay, self.relay.now, (self.relay.build, self.relay.stage, self.verdict)
         stands = self.cast == ballot and now - self.cast_at < self.facts["vote_life"] // 2
-        if not self.verdict or stands or now < self.busy_until or not self.sitting() or (
-                self.verdict == ON and (relay.phase != ON_TRIAL or self.facts["control"] == "timer")):
+        useless = self.verdict == ON and (relay.phase != ON_TRIAL or self.facts["control"] == "timer")
+        if not self.verdict or stands or useless or now < self.busy_until or not self.sitting():
             return
         self.busy_until, self.voted = now + self.facts["vote_wait"] + SECOND // 10, ballot
         relay.host.log(f"vote {self.verdict} on build {relay.build} stage {relay.stage}: " + " ".join(
@@ -545,6 +542,9 @@
             return 1.0
         return self.facts["cold_from"] + (1 - self.facts["cold_from"]) * age / self.facts["warm_up"]
 
+    def room(self) -> float:
+        return sum(unit.weight for unit in self.units.values()) or 0.01
+
     def on_trial(self, build: int) -> bool:
         return build > self.build >= 0 or (build == self.build and self.phase != RELEASED)
 
@@ -598,11 +598,11 @@
             self.known[number].over = True
 
     def on_abandoned(self, number: int) -> None:
-        if number in self.known and not self.known[number].over:
-            invocation, self.known[number].over = self.known[number], True
-            for place, shot in enumerate(invocation.shots):
-                if not shot.ended and self.facts["may_cancel"]:
-                    self.host.cancel(number, place)      # nobody waits for it any more
+        invocation = self.known.get(number)
+        if invocation and not invocation.over:
+            invocation.over = True
+            if invocation.out() and self.facts["may_cancel"]:
+                self.host.cancel(number, len(invocation.shots) - 1)     # nobody waits for it any more
 
     def on_wake(self, token: int) -> None:
         if token == self.WAKE_BEAT:
@@ -634,7 +634,6 @@
             self.judge.verdict = 0
 
     def on_flag(self, unit: int, workload: int, age: int) -> None:
-        """A wrong answer that a client found stands for several, as few are found; some reports are false."""
-        if unit in self.units and self.units[unit].build == self.build:
+        if unit in self.units and self.units[unit].build == self.build:     # few are found, some falsely
             row, weight = self.workloads[workload].row, min(3, round(1 / max(0.01, self.facts["flag_share"])))
             self.trial.groups["canary"][row.start + 1] += weight
