--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -462,13 +462,14 @@
                 and slower(now, before, ALL_SLOWER * rise ** 2, level))
 
     def due(self) -> int:
-        """The horizon: after the newest listed start of a unit of this build."""
-        relay, shares = self.relay, self.facts["stage_shares"]
+        relay, shares = self.relay, self.facts["stage_shares"]       # the horizon: after the newest listed start
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
-        wanted = max(1, LISTED * shares[min(relay.stage, len(shares) - 1)] * len(relay.units))
+        places = shares[min(relay.stage, len(shares) - 1)] * len(relay.units)
         # With most of a stage's units unseen, the list is stale: what other units show is no evidence for it.
-        slack = 0 if len(starts) >= wanted else 2 * LAUNCH
-        return max([relay.since + slack, *(min(start, relay.since + LAUNCH) for start in starts)]) + HORIZON
+        stale = len(starts) < max(1, LISTED * places)
+        newest = min(max([relay.since, *starts]), relay.since + LAUNCH)
+        listing = SECOND * (len(starts) < int(places))
+        return HORIZON + (relay.since + 2 * LAUNCH if stale else newest + listing)
 
     def consider(self) -> None:
         """Each half second: pool, judge, vote.  After the release too: the baseline is then remembered."""
