--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -99,7 +99,7 @@
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time.  What pays little for its time, or is of a customer beyond its share, has less room.  Guards
     against overload whatever its cause; could harm where answers are late by nature."""
-    LATE, RISE = 0.8, 0.1                        # late: of the promised time; a late answer costs 1
+    LATE, RISE = 1.0, 0.1                        # late: of the promised time; a late answer costs 1
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -462,7 +462,7 @@
                 and slower(now, before, ALL_SLOWER * rise ** 2, level))
 
     def due(self) -> int:
-        relay, shares = self.relay, self.facts["stage_shares"]       # the horizon: after the newest listed start
+        relay, shares = self.relay, self.facts["stage_shares"]   # the horizon: after the newest listed start
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
         places = shares[min(relay.stage, len(shares) - 1)] * len(relay.units)
         # With most of a stage's units unseen, the list is stale: what other units show is no evidence for it.
