--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -90,20 +90,19 @@
         if invocation.over:
             return
         self.purse = max(-1.0, self.purse - (not shot.never_ran))
-        if self.purse < 0 or not self.relay.gate.may_repeat(invocation):
-            return self.end(invocation)
-        self.forward(invocation)
+        go_on = self.purse >= 0 and self.relay.gate.may_repeat(invocation)
+        (self.forward if go_on else self.end)(invocation)
 
 
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time.  What pays little for its time, or is of a customer beyond its share, has less room.  Guards
     against overload whatever its cause; could harm where answers are late by nature."""
-    LATE, RISE = 1.0, 0.1                        # late: of the promised time; a late answer costs 1
+    LATE, RISE = 0.8, 0.1                        # late: of the promised time; a late answer costs 1
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        self.limit = 40.0
+        self.limit, self.cut, self.cut_at = 40.0, 0, 0
         self.taken = Ring(4 * SECOND, BUCKETS)
         self.by_customer = [Ring(4 * SECOND, BUCKETS) for _ in self.facts["customers"]]
 
@@ -130,9 +129,11 @@
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, latency_for_size = shot.invocation.workload, latency / max(1.0, shot.invocation.size)
         late = latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent
-        if late:                                 # not: a silent unit's time-outs, a drained unit's "full"
-            self.limit = max(3.0, self.limit - 1)
-        elif outcome == "served" and self.out() + 1 > 0.5 * self.limit:
+        if late and shot.sent >= self.cut_at:    # a cut by a third is given time to show
+            self.limit, self.cut = max(3.0, self.limit - 1), self.cut + 1
+            if self.cut > self.limit / 2:
+                self.cut, self.cut_at = 0, self.relay.now
+        elif outcome == "served" and not late and self.out() + 1 > 0.5 * self.limit:
             self.limit += self.RISE
         if outcome in ("served", "timeout", "cancelled"):
             workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
@@ -159,9 +160,8 @@
         return min(65535, int(self.relay.admission.taken.total(self.relay.now)))
 
     def forward(self, invocation: Invocation) -> bool:
-        relay = self.relay
-        new = [unit for unit in relay.units.values() if relay.on_trial(unit.build)]
-        old = [unit for unit in relay.units.values() if not relay.on_trial(unit.build)]
+        relay, units = self.relay, self.relay.units.values()
+        new, old = ([unit for unit in units if relay.on_trial(unit.build) == side] for side in (True, False))
         wanted = bool(new and old) and not invocation.shots      # further shots keep off the build on trial
         if wanted:
             mine, others = (sum(unit.weight * relay.warmth(unit) for unit in side) for side in (new, old))
@@ -595,8 +595,8 @@
         self.gate.backward(shot, outcome, latency)
 
     def on_started(self, number: int, place: int) -> None:
-        if number in self.known:                 # an answer's stream has begun: nothing more may be sent
-            self.known[number].over = True
+        if number in self.known:
+            self.known[number].over = True       # an answer's stream has begun: nothing more may be sent
 
     def on_abandoned(self, number: int) -> None:
         invocation = self.known.get(number)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -233,6 +233,14 @@
                 story.comes(number, "served")
         self.assertGreater(story.relay.admission.limit, 4)
 
+    def test_one_jam_is_answered_by_one_cut(self) -> None:
+        story = Story(units=8)
+        out = [story.take() for _ in range(40)]
+        story.later(2 * SECOND)
+        for number in out:
+            story.comes(number, "served", latency=2 * SECOND)
+        self.assertTrue(20 < story.relay.admission.limit < 30)
+
     def test_a_drained_unit_that_the_list_still_names_rests_and_costs_no_room(self) -> None:
         story = Story(units=2)
         limit = story.relay.admission.limit
