--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -49,6 +49,12 @@
         self.assertEqual(self.judged(alike, alike, stage_shares=[0.75, 1.0]), [])
         self.assertEqual(self.judged(alike, alike, stage_shares=[0.25, 1.0]), ON)
 
+    def test_the_horizon_waits_for_a_last_unit_that_is_being_listed(self) -> None:
+        for many, more in ((3, SECOND), (4, 0)):
+            story = Story(units=8, stage_shares=[0.5, 1.0])
+            story.trial(age=0, many=many)
+            self.assertEqual(story.relay.judge.due(), story.relay.now + policy.HORIZON + more)
+
     def test_under_the_clock_no_vote_for_on(self) -> None:
         alike = dict(served=60, bucket=3)
         self.assertEqual(self.judged(alike, alike, control="timer"), [])
@@ -176,11 +182,12 @@
             self.assertEqual(story.relay.choice.stands_out(units[5]), not counted)
 
     def test_with_no_earlier_unit_left_a_minority_that_errs_is_not_the_builds_fault(self) -> None:
-        for erring, own in ((1, True), (4, False)):
+        for erring, own in ((1, True), (3, False)):
             story = Story(units=6)
             units = list(story.relay.units.values())
             for unit in units[:erring]:
-                unit.failing = 0.2
+                unit.failing = 0.06
+            units[0].failing = 0.2
             self.assertEqual(story.relay.choice.stands_out(units[0]), own)
 
     def test_wrong_answers_found_by_clients_count_as_failures(self) -> None:
@@ -192,7 +199,7 @@
         self.assertEqual(story.relay.trial.groups["canary"][1], 6)
 
     def test_all_units_slower_than_before_the_trial_is_the_builds_fault_if_traffic_is_steady(self) -> None:
-        for rise, votes in ((1, BACK), (2, ON)):
+        for rise, bucket, votes in ((1, 5, BACK), (2, 5, ON), (1, 1, ON)):   # the last: the canary is as before
             story = Story()
             for _ in range(60):
                 story.serve(latency=1500)
@@ -202,7 +209,7 @@
                 story.relay.admission.taken.add(story.relay.now)
             story.relay.admission.taken.total = lambda now, rise=rise: 60 * rise
             slow = dict(served=40, bucket=5)
-            story.relay.on_told(1, story.evidence(slow, slow))
+            story.relay.on_told(1, story.evidence(dict(served=40, bucket=bucket), slow))
             story.beat()
             self.assertEqual(story.votes(), votes)
 
@@ -233,6 +240,14 @@
                 story.comes(number, "served")
         self.assertGreater(story.relay.admission.limit, 4)
 
+    def test_on_the_way_back_few_earlier_units_are_not_sent_everything(self) -> None:
+        story = Story(units=4, free_shots=100, relays=9)
+        story.trial(many=3)
+        story.relay.judge.verdict = policy.BACK
+        for _ in range(60):
+            story.serve()
+        self.assertTrue(10 < story.sent().count(0) < 40)
+
     def test_one_jam_is_answered_by_one_cut(self) -> None:
         story = Story(units=8)
         out = [story.take() for _ in range(40)]
