--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -56,17 +56,37 @@
     return above - n * m / 2, n * m / 12 * (total + 1 - ties / (total * (total - 1)))
 
 
+def median(counts: list[int], edges: tuple[float, ...]) -> float:
+    """The median of bucket counts, inside a bucket by the ratio of its edges."""
+    half, edges = sum(counts) / 2, (edges[0] / 2, *edges, 2 * edges[-1], 2 * edges[-1])
+    for place, count in enumerate(counts):
+        if count and half <= count:
+            return edges[place] * (edges[place + 1] / edges[place]) ** (half / count)
+        half -= count
+    return edges[-1]
+
+
+class Workload:
+    """What the settings say of one, and how long its answers take."""
+    mean = deviation = 0.0
+
+    def __init__(self, place: int, row: int, facts: dict[str, Any]) -> None:
+        self.place, self.row = place, slice(place * row, (place + 1) * row)
+        self.promised, self.effect, self.group = facts["promised"], facts["effect"], facts["group"]
+        self.memory, self.payoff = facts["memory"], facts["payoff"]
+
+
 class Unit:
     """A unit as this relay sees it.  A new start or another build makes a new Unit, cold again."""
 
-    def __init__(self, number: int, build: int, started: int, sent: Ring) -> None:
+    def __init__(self, number: int, build: int, started: int, credit: float, even: float) -> None:
         self.number, self.build, self.started = number, build, started
+        self.credit, self.even = credit, even    # what it may get while cold, and up to when that is summed
         self.weight, self.open, self.zone, self.cell = 1.0, True, 0, 0
         self.out, self.waiting = 0, 0            # our shots out there, and since when with no answer at all
         self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
         self.util, self.queue, self.load_at = 0.0, 0.0, 0
         self.rest_until, self.rest = 0, 0
-        self.sent = sent                         # size of what we sent it
 
 
 class Invocation:
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -2,62 +2,44 @@
 for each instance, sets `relay.now` before each event and calls its `on_...` methods.  `facts` is a plain map
 of settings (names: tealsail/adapter/words.py); times are whole tenths of a millisecond.  The design is told
 in docs/design.md.  In order: what is tuned, the chain that an invocation passes, the judge, the relay."""
-import struct
 from collections import defaultdict
+from itertools import islice
 from math import erfc, sqrt
 from typing import Any
 from zlib import crc32
 
 from .host import Host
-from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, mix, rank_test
+from .notes import Pool, count_notes, read, verdict_note
+from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, Workload, median, mix, rank_test
 
 SECOND = 10_000
 ABSENT: dict[str, Any] = dict(
     index=0, relays=1, workloads=[], customers=[], caps=[0.0], stage_shares=[1.0], on_votes=0, hold_votes=0,
-    back_votes=0, vote_life=6 * SECOND, vote_wait=SECOND, control="any", free_shots=0, exposure_per="all",
-    exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0, most_shots=1, may_cancel=False,
-    may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", warm_keys=False, cold_from=0.25,
-    warm_up=5 * SECOND, fall_multiple=2.0, fall_span=SECOND, drain_grace=0,
+    back_votes=0, vote_life=6 * SECOND, vote_wait=SECOND, votes_per_second=50, control="any", free_shots=0,
+    exposure_per="all", exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0,
+    may_cancel=False, may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", most_shots=1,
+    warm_keys=False, cold_from=0.25, warm_up=5 * SECOND, fall_multiple=2.0, drain_grace=0,
     promised=SECOND, effect="one-shot", group="all", memory=0, payoff=1.0)       # these of a workload
 ON, BACK = 1, 3                                  # verdicts of a vote
 ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = range(4)
 NEVER_RAN = {"full", "unreachable", "moot"}      # outcomes that prove that a shot was not run
-# A group's row for one workload: served, failed, histogram (bucket edges in parts of the promised time).
-GROUPS = ("canary", "baseline", "before")
-EDGES = (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
-ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # and the buckets of every ring of time
-TRIAL_PART = 0.9                                 # of the allowance, while earlier units can take the rest
-BEAR = 1.3                                       # over its even share a unit can take so much for a while
-JUDGES, VOTES_NEEDED = 3, ("on_votes", "hold_votes", "back_votes")
+GROUPS, EDGES = ("canary", "baseline", "before"), (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
+ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # served, failed, times in parts of the promise; of each ring
+TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
+JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need: some are
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
 ALL_SLOWER, ALSO_SLOWER = 1.7, 1.2       # over before: earlier units, by traffic's rise squared; canary
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
-LISTED = 0.7                                     # of a stage's units are to be seen before its horizon counts
-LAUNCH = 8 * SECOND                              # by then a stage's units have started, or never will
+LISTED, LAUNCH = 0.7, 8 * SECOND                 # of a stage's units are to be seen, or this time has passed
 PATIENCE = 5 * SECOND                            # how long past the horizon thin evidence is waited out
-FRESH = 3 * SECOND                               # a judge not heard of for so long is taken for dead
-
-
-class Workload:
-    def __init__(self, place: int, facts: dict[str, Any]) -> None:
-        facts = ABSENT | facts
-        self.place, self.row = place, slice(place * ROW, (place + 1) * ROW)
-        self.promised, self.effect, self.group = facts["promised"], facts["effect"], facts["group"]
-        self.memory, self.payoff = facts["memory"], facts["payoff"]
-        self.mean, self.deviation = self.promised / 5, self.promised / 10
-
-    def patience(self) -> int:
-        """After this a shot is late for its kind: mean and three deviations, bounded by the promise."""
-        return int(min(max(self.mean + 3 * self.deviation, self.promised / 4), 0.75 * self.promised))
 
 
 class Intake(Stage):
     """Takes invocations and gives each its one final answer, at once where nothing can be sent."""
     FURTHER = 0.2                                # doubtful further shots an invocation: no storm of repeats
-
-    purse = 5.0
+    purse = 1.0                                  # what many relays start with is not a storm either
 
     def forward(self, invocation: Invocation) -> None:
         self.purse = min(20.0, self.purse + (0 if invocation.shots else self.FURTHER))
@@ -74,67 +56,66 @@
             self.relay.host.forfeit(invocation.number)
 
     def overdue(self, invocation: Invocation) -> None:
-        """A shot later than its kind, whose unit has answered nothing since, is called off for another one.
-        Guards against hung, dead and very slow units; a unit that answers others is waited for."""
+        """A shot later than its kind, whose unit has answered nothing since (hung, dead), is called off."""
         shot = invocation.shots[-1]
         if not shot.ended and not invocation.over:
-            again = self.relay.now + invocation.workload.patience() // 2
             if shot.unit.waiting <= shot.sent and self.purse >= 1:
-                self.relay.host.cancel(invocation.number, len(invocation.shots) - 1)
-            else:
-                self.relay.host.wake(again, self.relay.WAKE_LATE + invocation.number)
+                return self.relay.host.cancel(invocation.number, len(invocation.shots) - 1)
+            again = self.relay.now + self.relay.admission.patience(invocation.workload) // 2
+            self.relay.host.wake(again, self.relay.WAKE_LATE + invocation.number)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         invocation = shot.invocation
         invocation.over |= outcome == "served"
-        if invocation.over:
-            return
-        self.purse = max(-1.0, self.purse - (not shot.never_ran))
-        go_on = self.purse >= 0 and self.relay.gate.may_repeat(invocation)
-        (self.forward if go_on else self.end)(invocation)
+        if not invocation.over:
+            self.purse = max(-1.0, self.purse - (not shot.never_ran))
+            go_on = self.purse >= 0 and self.relay.gate.may_repeat(invocation)
+            (self.forward if go_on else self.end)(invocation)
 
 
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
-    in time.  What pays little for its time, or is of a customer beyond its share, has less room.  Guards
-    against overload whatever its cause; could harm where answers are late by nature."""
-    LATE, RISE = 0.8, 0.1                        # late: of the promised time; a late answer costs 1
+    in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
+    LATE, RISE, CUT, LEAST = 0.8, 0.1, 0.8, 0.2  # late: of the promised time; under 1 chance decides
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        self.limit, self.cut, self.cut_at = 40.0, 0, 0
+        self.limit, self.cut_at = 40.0, 0
+        self.shots = self.stuck = 0              # out there, and those with units that are hung
         self.taken = Ring(4 * SECOND, BUCKETS)
-        self.by_customer = [Ring(4 * SECOND, BUCKETS) for _ in self.facts["customers"]]
+        self.by_customer = [Ring(4 * SECOND, BUCKETS) for _ in self.facts["customers"] or [{}]]
+        for workload in relay.workloads:         # latencies, until some are seen
+            workload.mean, workload.deviation = workload.promised / 5, workload.promised / 10
+
+    def patience(self, workload: Workload) -> int:
+        """After this a shot is late for its kind: mean and three deviations, bounded by the promise."""
+        late = workload.mean + 3 * workload.deviation
+        return int(min(max(late, workload.promised / 4), 0.75 * workload.promised))
 
     def forward(self, invocation: Invocation) -> bool:
         if not invocation.shots:
             self.taken.add(self.relay.now, not invocation.repeat)
-            for ring in self.by_customer[invocation.customer:invocation.customer + 1]:
-                ring.add(self.relay.now)
-            if self.out() + 1 > self.limit * self.part(invocation):
+            self.by_customer[invocation.customer].add(self.relay.now)
+            if self.shots - self.stuck + self.relay.chance.share() > self.limit * self.part(invocation):
                 return False
         return self.next.forward(invocation)
 
-    def out(self) -> int:
-        return sum(unit.out for unit in self.relay.units.values() if self.relay.choice.fit(unit))
-
     def part(self, invocation: Invocation) -> float:
         best, now = max(workload.payoff / workload.mean for workload in self.relay.workloads), self.relay.now
         part = 1.0 if invocation.workload.payoff / invocation.workload.mean > 0.7 * best else 0.85
-        for ring in self.by_customer[invocation.customer:invocation.customer + 1]:
-            fair = 1.3 * self.facts["customers"][invocation.customer].get("share", 1) * self.taken.total(now)
-            part /= min(2.0, max(1.0, ring.total(now) / max(10.0, fair)))
-        return part
+        if not self.facts["customers"]:
+            return part
+        fair = 1.3 * self.facts["customers"][invocation.customer].get("share", 1) * self.taken.total(now)
+        return part / min(2.0, max(1.0, self.by_customer[invocation.customer].total(now) / max(10.0, fair)))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, latency_for_size = shot.invocation.workload, latency / max(1.0, shot.invocation.size)
         late = latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent
-        if late and shot.sent >= self.cut_at:    # a cut by a third is given time to show
-            self.limit, self.cut = max(3.0, self.limit - 1), self.cut + 1
-            if self.cut > self.limit / 2:
-                self.cut, self.cut_at = 0, self.relay.now
-        elif outcome == "served" and not late and self.out() + 1 > 0.5 * self.limit:
-            self.limit += self.RISE
+        out = self.shots - self.stuck + 1
+        if late and shot.sent >= self.cut_at:    # of what is in use, and once for all shots of one jam
+            self.limit, self.cut_at = max(self.LEAST, self.CUT * min(self.limit, out + 1)), self.relay.now
+        elif outcome == "served" and not late and out > 0.5 * self.limit:
+            self.limit += min(self.RISE, self.RISE / 2 * self.limit)
         if outcome in ("served", "timeout", "cancelled"):
             workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
             workload.mean += 0.05 * (latency_for_size - workload.mean)
@@ -152,103 +133,112 @@
 
     def new_build(self, build: int) -> None:
         self.build, self.owed = build, 0.0       # how far the canary group is ahead of the baseline
-        self.groups = {name: [0] * len(self.lately) for name in GROUPS}
-        self.groups["before"] = [int(count) for count in self.lately]
-        self.taken_before, self.room_before = self.taken(), self.relay.room()
+        self.groups = {name: [int(count) * (name == "before") for count in self.lately] for name in GROUPS}
+        self.taken_before, self.room_before = self.taken(), self.relay.room
 
     def taken(self) -> int:
-        return min(65535, int(self.relay.admission.taken.total(self.relay.now)))
+        return int(self.relay.admission.taken.total(self.relay.now))
+
+    def weigh(self) -> None:
+        """The share of the build on trial: of its units, by what they can do now."""
+        relay, (old, new) = self.relay, self.relay.rows
+        relay.warm_room = sum(unit.weight for unit in [*old, *new] if relay.warmth(unit) >= 1)
+        mine, others = (sum(unit.weight * relay.warmth(unit) for unit in row) for row in (new, old))
+        slow, usual = (sum(unit.pace for unit in row) / max(1, len(row)) for row in (new, old))
+        self.share = mine / max(0.01, mine + others * max(1.0, slow / max(0.01, usual)))
+        if relay.judge.verdict == BACK or relay.phase == GOING_BACK:
+            self.share = max(0.0, 1 - BEAR * (1 - self.share))   # earlier units get what they can bear
 
     def forward(self, invocation: Invocation) -> bool:
-        relay, units = self.relay, self.relay.units.values()
-        new, old = ([unit for unit in units if relay.on_trial(unit.build) == side] for side in (True, False))
-        wanted = bool(new and old) and not invocation.shots      # further shots keep off the build on trial
-        if wanted:
-            mine, others = (sum(unit.weight * relay.warmth(unit) for unit in side) for side in (new, old))
-            slow, usual = (sum(unit.pace for unit in side) / len(side) for side in (new, old))
-            share = mine / (mine + others * max(1.0, slow / usual))
-            if relay.judge.verdict == BACK or relay.phase == GOING_BACK:
-                share = max(0.0, 1 - BEAR * (1 - share))     # earlier units get what they can bear
-            wanted = relay.chance.share() < share and \
-                relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1
+        relay, (old, new) = self.relay, self.relay.rows
+        if not relay.warm_room and not invocation.shots:
+            relay.gate.even += invocation.size / relay.room
+        # Further shots keep off the build on trial.
+        wanted = bool(new and old) and not invocation.shots and relay.chance.share() < self.share and \
+            relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1
         # Departure: what earlier units cannot take (none left, cold ones full) may use the whole allowance.
-        return any(self.next.forward(invocation, side) for side in ((new, old) if wanted else (old, new)))
+        return any(self.next.forward(invocation, row) for row in ((new, old) if wanted else (old, new)))
 
     def group_of(self, unit: Unit) -> list[int] | None:
         """The counts that a shot is for, its own even if it is still out when the next build comes."""
-        if unit.build == self.build:
-            self.owed = min(50.0, self.owed + 1)
-            return self.groups["canary"]
-        if unit.build < self.build and self.owed > 0 and self.relay.chance.share() < 0.5:
-            self.owed -= 1
-            return self.groups["baseline"]
-        return None
+        name = "canary" if unit.build == self.build else "baseline"
+        if unit.build > self.build or name == "baseline" and self.owed <= 2 * self.relay.chance.share():
+            return None
+        self.owed = min(50.0, self.owed + (1 if name == "canary" else -1))
+        return self.groups[name]
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, unit = shot.invocation.workload, shot.unit
         times = latency * shot.warmth / workload.promised
         bucket = workload.row.start + 2 + sum(times > edge for edge in EDGES)
-        # Left out: one client's repeats where they are marked, and a unit's errors that are not its build's.
-        if shot.group and not shot.invocation.repeat:
+        if shot.group and not shot.invocation.repeat:            # one client's repeats are no evidence
             own = unit.build == self.build and self.relay.choice.stands_out(unit)
             shot.group[workload.row.start] += outcome == "served"
             shot.group[workload.row.start + 1] += outcome == "error" and not own
-            # Past its first 2 s a cold unit's times count by its warmth: the least that it can be.
             if outcome == "served" and self.relay.now - unit.started > SKIP:
-                shot.group[bucket] += 1
+                shot.group[bucket] += 1          # a cold unit's time counts by its warmth at the least
         if outcome == "served" and shot.warmth >= 1 and not self.relay.on_trial(unit.build):
             self.lately[bucket] += 1
         super().backward(shot, outcome, latency)
 
 
 class Choice(Stage):
-    """Which unit: two random choices in the build, by shots out there, load heard of and answers seen."""
-    REST, LONGEST_REST = SECOND // 2, 4 * SECOND
+    """Which unit: two random choices in the build, by shots out there, load heard of and answers seen.  The
+    operators' habit: among few units, in an order that this relay's number draws, and one more whenever those
+    are all busy.  So a relay of little traffic opens few connections and knows its units."""
+    REST, LONGEST_REST, FEW = SECOND // 2, 4 * SECOND, 4
+    few = FEW
 
-    def forward(self, invocation: Invocation, units: list[Unit]) -> bool:
-        pick = self.relay.chance.pick
+    def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
         used = [shot.unit for shot in invocation.shots]
-        fit = [unit for unit in units if self.fit(unit) and unit not in used]
-        for candidates in (fit, [unit for unit in units if unit not in fit]):    # the others only if need be
-            key_unit = None                      # the key's own, where units work faster for known keys
-            if invocation.key is not None and self.facts["warm_keys"] and candidates:
-                key_unit = max(candidates, key=lambda unit: mix(invocation.key or 0, unit.number))
-            while candidates:
-                pair = (key_unit if key_unit in candidates else pick(candidates), pick(candidates))
-                unit = min(pair, key=lambda unit: self.cost(unit) * (0.75 if unit is key_unit else 1))
-                if self.next.forward(invocation, unit):
-                    return True
-                candidates = [other for other in candidates if other is not unit]
-        return False
+        fit = (unit for unit in row if self.fit(unit) and unit not in used)
+        near = list(islice(fit, int(self.few)))
+        if near and all(unit.out for unit in near):
+            self.few += 1
+            near += islice(fit, 1)
+        while near:
+            unit = self.better(invocation, near)
+            if self.next.forward(invocation, unit):
+                return True
+            near.remove(unit)
+            near += islice(fit, 1)               # cold, say: the next in the row
+        return any(self.next.forward(invocation, unit) for unit in row if not self.fit(unit))
+
+    def better(self, invocation: Invocation, near: list[Unit]) -> Unit:
+        one, key_unit = self.relay.chance.pick(near), None
+        if invocation.key is not None and self.facts["warm_keys"]:      # units work faster for keys they know
+            one = key_unit = max(near, key=lambda unit: mix(invocation.key or 0, unit.number))
+        other = self.relay.chance.pick([unit for unit in near if unit is not one] or near)
+        return min((one, other), key=lambda unit: self.cost(unit) * (0.75 if unit is key_unit else 1))
 
     def cost(self, unit: Unit) -> float:
-        cost = (unit.out + 1) * unit.pace / (unit.weight * self.relay.warmth(unit))
+        """Chance decides between idle ones, by what they can do."""
+        cost = (unit.out + self.relay.chance.share()) * unit.pace / (unit.weight * self.relay.warmth(unit))
         if self.relay.now - unit.load_at < 2 * SECOND:
             cost *= 1 + 2 * unit.util * unit.util + unit.queue / 4
         return cost
 
     def fit(self, unit: Unit) -> bool:
         """Not resting, one shot at a time after a rest, and not silent for longer than answers take."""
-        now = self.relay.now
-        return now >= unit.rest_until and not (
-            unit.out and (unit.rest or now - unit.waiting > self.relay.patience))
+        return self.relay.now >= unit.rest_until and not (
+            unit.out and (unit.rest or self.relay.now - unit.waiting > self.relay.patience))
 
     def stands_out(self, unit: Unit) -> bool:
         """Its errors are its own: its build's other units do much better and earlier units fail too or, with
         none left, under a third of the build's.  Few that fail in a build on trial alone count against it."""
-        units = self.relay.units.values()
-        others = [other.failing for other in units if other.build == unit.build and other is not unit]
-        elsewhere = [other.failing for other in units if other.build != unit.build]
+        others, elsewhere = ([other.failing for other in self.relay.units.values() if other is not unit
+                              and (other.build == unit.build) == here] for here in (True, False))
         few = max(elsewhere) > 0.1 if elsewhere else 3 * sum(each > 0.05 for each in others) < len(others)
         return few and unit.failing > 3 * sum(others) / max(1, len(others))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         unit, now, workload = shot.unit, self.relay.now, shot.invocation.workload
         unit.out -= 1
+        self.relay.admission.shots -= 1
         if outcome in ("served", "error"):
             unit.waiting = now
             unit.failing += 0.15 * ((outcome == "error") - unit.failing)
-        late = outcome in ("timeout", "cancelled") and latency >= workload.patience()
+        late = outcome in ("timeout", "cancelled") and latency >= self.relay.admission.patience(workload)
         if outcome == "served" or late:
             times = latency / max(1.0, shot.invocation.size) / workload.mean
             unit.pace += 0.1 * (min(8.0, 8.0 if late else times) - unit.pace)
@@ -257,7 +247,9 @@
         elif outcome in ("unreachable", "reset", "full") or (late and unit.waiting <= shot.sent) \
                 or (outcome == "error" and self.stands_out(unit)):
             unit.rest = min(self.LONGEST_REST, 2 * unit.rest or self.REST)
-            unit.rest_until = now + unit.rest    # dead, drained, silent or failing alone: it rests
+            unit.rest_until = now + unit.rest    # dead, drained, silent or failing alone: it rests, and goes
+            for row in self.relay.rows:          # to the end of the row
+                row.sort(key=lambda other: other is unit)
         super().backward(shot, outcome, latency)
 
 
@@ -270,7 +262,7 @@
         span = self.facts["exposure_span"]
         self.taken = [Ring(span, BUCKETS) for _ in relay.workloads]
         self.tried = defaultdict(lambda: [Ring(span, BUCKETS) for _ in relay.workloads])     # by build
-        self.warm_sent = Ring(self.facts["fall_span"], BUCKETS)
+        self.even = 0.0                          # sent to warm units so far, for a weight of one
         self.answered: dict[int, int] = {}       # key -> build that answered it (one-way roll-outs)
 
     def forward(self, invocation: Invocation, unit: Unit) -> bool:
@@ -282,23 +274,25 @@
         invocation.shots.append(shot)
         unit.waiting = unit.waiting if unit.out else now
         unit.out += 1
-        unit.sent.add(now, invocation.size)
+        relay.admission.shots += 1
+        unit.credit -= invocation.size
         if shot.warmth >= 1:
-            self.warm_sent.add(now, invocation.size)
+            self.even += invocation.size / max(relay.warm_room, unit.weight)
         self.tried[unit.build][invocation.workload.place].add(now)
-        left, patience = invocation.give_up - now, invocation.workload.patience()
-        follows = (invocation.workload.effect == "harmless" and left > 2 * patience
-                   and len(invocation.shots) < self.facts["most_shots"])
-        if follows and self.facts["may_cancel"]:
-            relay.host.wake(now + patience, relay.WAKE_LATE + invocation.number)
-        relay.host.send(invocation.number, unit.number,
-                        2 * patience if follows and not self.facts["may_cancel"] else left)
+        left, patience = invocation.give_up - now, self.relay.admission.patience(invocation.workload)
+        if invocation.workload.effect == "harmless" and left > 2 * patience \
+                and len(invocation.shots) < self.facts["most_shots"]:
+            if self.facts["may_cancel"]:
+                relay.host.wake(now + patience, relay.WAKE_LATE + invocation.number)
+            else:
+                left = 2 * patience
+        relay.host.send(invocation.number, unit.number, left)
         return True
 
     # No invocation is lost, and nothing is sent for one that is over.
     def answerable(self, invocation: Invocation) -> bool:
-        shots_left = len(invocation.shots) < self.facts["most_shots"]
-        return shots_left and not invocation.over and self.relay.now < invocation.give_up
+        return (len(invocation.shots) < self.facts["most_shots"] and not invocation.over
+                and self.relay.now < invocation.give_up)
 
     # No effect twice: what may have run goes out again, or is rejected, only as its workload allows.
     def may_repeat(self, invocation: Invocation, unit: Unit | None = None) -> bool:
@@ -319,18 +313,15 @@
     def listed(self, unit: Unit) -> bool:
         return self.relay.units.get(unit.number) is unit
 
-    # No cold unit pushed over: it gets from each relay at most an even share of what that relay sends to warm
-    # ones, by the least it can do now.  Those bear it, so all relays together stay below the fall.
+    # No cold unit pushed over: it gets at most an even share of what this relay sends to warm ones (with none
+    # left: of what it takes), by the least it can do now.  The share is saved up from a debt drawn by chance:
+    # a floor of one shot a relay would be hundreds of shots from all of them.
     def warm_enough(self, invocation: Invocation, unit: Unit) -> bool:
-        relay, now, size = self.relay, self.relay.now, invocation.size
-        if relay.warmth(unit) >= 1:
-            return True
-        warm = sum(other.weight for other in relay.units.values() if relay.warmth(other) >= 1)
-        even = self.warm_sent.total(now) / warm * unit.weight if warm else (
-            sum(ring.total(now) for ring in self.taken) / len(relay.units)
-            * self.facts["fall_span"] / self.facts["exposure_span"])
-        even *= min(self.COLD_PART, self.facts["fall_multiple"] / 2) * relay.warmth(unit)
-        return size <= 3 and unit.sent.total(now, partial=True) + size <= max(1.0, even)
+        warmth = self.relay.warmth(unit)
+        if warmth < 1:
+            part = min(self.COLD_PART, self.facts["fall_multiple"] / 2) * warmth * unit.weight
+            unit.credit, unit.even = min(1.0, unit.credit + (self.even - unit.even) * part), self.even
+        return warmth >= 1 or (unit.credit >= 0 and invocation.size <= 3)
 
     # Exposure within the cap.
     def exposed(self, invocation: Invocation, unit: Unit) -> bool:
@@ -359,16 +350,6 @@
         super().backward(shot, outcome, latency)
 
 
-def median(counts: list[int]) -> float:
-    """The median of bucket counts in parts of the promised time, inside a bucket by the edges' ratio."""
-    half, edges = sum(counts) / 2, (EDGES[0] / 2, *EDGES, 2 * EDGES[-1], 2 * EDGES[-1])
-    for place, count in enumerate(counts):
-        if count and half <= count:
-            return edges[place] * (edges[place + 1] / edges[place]) ** (half / count)
-        half -= count
-    return edges[-1]
-
-
 def slower(mine: list[list[int]], others: list[list[int]], margin: float, level: float) -> bool:
     """The rank test, workload by workload, sums pooled; a failure ranks behind every answer."""
     excess = spread = ratio = weight = 0.0
@@ -377,68 +358,75 @@
         if min(sum(new), sum(old)) >= 5:
             more, variance = rank_test(new, old)
             excess, spread = excess + more, spread + variance
-            ratio, weight = ratio + sum(new) * median(new) / median(old), weight + sum(new)
+            ratio, weight = ratio + sum(new) * median(new, EDGES) / median(old, EDGES), weight + sum(new)
     return weight >= LEAST and ratio > margin * weight and erfc(excess / sqrt(2 * spread)) / 2 < level
 
 
 class Judge:
-    """Pools the counts of all relays.  Only those drawn by hash for a build and stage vote."""
+    """Pools the counts of all relays.  Three are drawn by hash for a build and stage.  Departure: where more
+    votes are needed, those next in the same order cast the verdict that any of the three tells."""
 
     def __init__(self, relay: "Relay") -> None:
-        self.relay, self.facts, self.beat = relay, relay.facts, 0
-        self.cast_at = self.busy_until = 0
+        self.relay, self.facts, self.beat, self.cast_at, self.busy_until = relay, relay.facts, 0, 0, 0
         self.voted = self.cast = (-1, 0, 0)      # the vote last sent, and the one known to stand
+        needed = max(int(self.facts[name]) for name in ("on_votes", "hold_votes", "back_votes"))
+        self.voters = JUDGES if needed <= JUDGES else int(needed * SPARE) + 1
         self.new_build()
 
     def new_build(self) -> None:
-        self.heard: dict[tuple[int, int, int], list[int]] = {}   # sender, start, workload -> newest counts
-        self.fresh: dict[int, int] = {}          # sender -> when last heard
-        self.traffic: dict[int, tuple[int, int]] = {}            # sender -> taken of late, and before
-        self.past, self.verdict = [None] * 12, 0         # the pool in the latest six seconds; what we are for
+        self.pooled = Pool(len(GROUPS) * len(self.relay.trial.lately))       # what the others told
+        self.heard: dict[int, tuple[int, int, int]] = {}         # sender -> when, taken of late, and before
+        self.past: list[Any] = [None] * 12       # the pool in the latest six seconds
+        self.draw()
 
-    def drawn(self) -> tuple[int, list[int]]:
-        """How many vote, and all relays in the order that a hash of build and stage draws for them."""
-        relay, seats = self.relay, max(JUDGES, *(int(self.facts[name]) for name in VOTES_NEEDED))
-        return seats, sorted(range(self.facts["relays"]), key=lambda at: -mix(relay.build, relay.stage, at))
+    def draw(self) -> None:
+        """Once a build and stage: all relays in the order of a hash; nothing is known to those drawn now."""
+        relay = self.relay
+        self.order = sorted(range(max(self.facts["relays"], relay.index + 1)),
+                            key=lambda at: -mix(relay.build, relay.stage, at))
+        self.place, self.verdict, self.told = self.order.index(relay.index), 0, [0] * len(self.pooled.sums)
 
     def sitting(self) -> bool:
         """One of the judges, or the next in line for one that has not been heard of lately."""
-        (seats, order), relay = self.drawn(), self.relay
-        alive = [index for index in order[:seats + 1] if index == relay.index
-                 or relay.now - self.fresh.get(index, relay.since) < FRESH]
-        return relay.index in alive[:seats]
+        relay = self.relay
+        alive = [index for index in self.order[:JUDGES + 1] if index == relay.index
+                 or relay.now - self.heard.get(index, [relay.since])[0] < FRESH]
+        return relay.index in alive[:JUDGES] or (self.place < self.voters and not self.facts["may_tell"])
 
     def tell(self) -> None:
-        """Our cumulative counts to the judges and the next in line; loss, reorder and restarts heal."""
-        relay, trial, rows = self.relay, self.relay.trial, len(self.relay.workloads)
-        for first in range(0, rows if trial.build >= 0 and self.facts["may_tell"] else 0, 4):
-            span = slice(first * ROW, min(rows, first + 4) * ROW)
-            counts = [min(65535, count) for name in GROUPS for count in trial.groups[name][span]]
-            data = struct.pack(f"<HIHHH{len(counts)}H", trial.build, relay.born & 0xFFFFFFFF, first,
-                               trial.taken(), trial.taken_before, *counts)
-            seats, order = self.drawn()
-            for index in [at for at in order[:seats + 1] if at != relay.index]:
-                relay.host.tell(index, data)
+        """Our cumulative counts to the judges and the next in line: what has changed, and every fourth time
+        all; loss, reorder and restarts heal, and who has nothing new is quiet."""
+        relay, trial, tell = self.relay, self.relay.trial, self.relay.host.tell
+        if trial.build < 0 or not self.facts["may_tell"]:
+            return
+        if self.verdict and self.voters > JUDGES and self.sitting():
+            tell(-1, verdict_note(relay.build, relay.stage, self.verdict))
+        counts = [count for name in GROUPS for count in trial.groups[name]]
+        whole = (self.beat // 2 + relay.index) % 4 == 0
+        cells = [(cell, count) for cell, (count, told) in enumerate(zip(counts, self.told))
+                 if count and (whole or count != told)]
+        self.told = counts
+        for data in count_notes(trial.build, relay.born, trial.taken(), trial.taken_before, cells):
+            for index in self.order[:JUDGES + 1] if cells or self.place <= JUDGES else ():
+                if index != relay.index:
+                    tell(index, data)
 
     def hear(self, sender: int, data: bytes) -> None:
-        relay = self.relay
-        if len(data) < 12 or (len(data) - 12) % (2 * ROW * len(GROUPS)):
+        relay, figures = self.relay, read(data)
+        if not figures or figures[0] != relay.build:
             return
-        build, born, first, taken, before, *counts = struct.unpack(f"<HIHHH{(len(data) - 12) // 2}H", data)
-        if build == relay.build and first * ROW + len(counts) // len(GROUPS) <= len(relay.trial.lately):
-            self.fresh[sender], self.traffic[sender] = relay.now, (taken, before)
-            known = self.heard.get((sender, born, first))
-            if known is None or sum(counts) >= sum(known):       # cumulative: the larger is the newer
-                self.heard[sender, born, first] = counts
+        if len(figures) > 3:
+            self.heard[sender] = relay.now, figures[2], figures[3]
+            self.pooled.add(sender, figures[1], figures[4:])
+        elif sender in self.order[:JUDGES + 1] and figures[2] > self.verdict and \
+                (figures[1] == relay.stage or figures[2] == BACK):       # a judge's word
+            self.verdict, crowd = figures[2], self.voters / self.facts["votes_per_second"] - 1.5
+            self.busy_until = relay.now + int(max(0.0, crowd) * relay.chance.share() * SECOND)
 
     def pool(self) -> list[list[list[int]]]:
-        """For each group its rows by workload, of all relays and their earlier starts."""
-        pooled = [list(self.relay.trial.groups[name]) for name in GROUPS]
-        for (_, _, first), counts in self.heard.items():
-            part = len(counts) // len(GROUPS)
-            for place, count in enumerate(counts):
-                pooled[place // part][first * ROW + place % part] += count
-        return [[group[workload.row] for workload in self.relay.workloads] for group in pooled]
+        told = iter(self.pooled.sums)
+        groups = [[own + next(told) for own in self.relay.trial.groups[name]] for name in GROUPS]
+        return [[group[workload.row] for workload in self.relay.workloads] for group in groups]
 
     def fails(self, canary: list[list[int]], baseline: list[list[int]]) -> bool:
         """The crude margin on failures that the baseline does not explain, for each workload and for all."""
@@ -453,10 +441,10 @@
         level, trial, relay = REJECT_AT / len(self.facts["stage_shares"]), self.relay.trial, self.relay
         if slower(canary, baseline, SLOWER, level):
             return True
-        traffic = [(trial.taken(), trial.taken_before)] + [
-            each for sender, each in self.traffic.items() if relay.now - self.fresh[sender] < FRESH]
-        taken, then = (sum(column) for column in zip((0, 0), *(each for each in traffic if each[1])))
-        rise = max(1.0, taken / relay.room() / (then or 0.01) * trial.room_before)
+        traffic = [(relay.now, trial.taken(), trial.taken_before), *self.heard.values()]
+        taken, then = (sum(each[at] for each in traffic if relay.now - each[0] < 2 * FRESH and each[2])
+                       for at in (1, 2))
+        rise = max(1.0, taken / relay.room / (then or 0.01) * trial.room_before)
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
         return (slower(recent[0], before, ALSO_SLOWER, level)
                 and slower(now, before, ALL_SLOWER * rise ** 2, level))
@@ -465,44 +453,45 @@
         relay, shares = self.relay, self.facts["stage_shares"]   # the horizon: after the newest listed start
         starts = [unit.started for unit in relay.units.values() if unit.build == relay.build]
         places = shares[min(relay.stage, len(shares) - 1)] * len(relay.units)
-        # With most of a stage's units unseen, the list is stale: what other units show is no evidence for it.
-        stale = len(starts) < max(1, LISTED * places)
+        stale = len(starts) < max(1, LISTED * places)    # what other units show is no evidence for these
         newest = min(max([relay.since, *starts]), relay.since + LAUNCH)
-        listing = SECOND * (len(starts) < int(places))
-        return HORIZON + (relay.since + 2 * LAUNCH if stale else newest + listing)
+        return HORIZON + (relay.since + 2 * LAUNCH if stale else newest + SECOND * (len(starts) < int(places)))
 
     def consider(self) -> None:
-        """Each half second: pool, judge, vote.  After the release too: the baseline is then remembered."""
-        relay, place = self.relay, self.beat % len(self.past)
-        self.beat += 1
-        if not relay.workloads or relay.build < 0 or relay.phase not in (ON_TRIAL, RELEASED):
-            return
-        pooled = self.pool()
+        """Each half second.  After the release too: the baseline is then remembered."""
+        self.beat, sits = self.beat + 1, self.sitting()
+        if self.relay.workloads and self.relay.build >= 0 and self.relay.phase in (ON_TRIAL, RELEASED):
+            if sits:
+                self.judge()
+            if sits or self.place < self.voters:
+                self.vote()
+
+    def judge(self) -> None:
+        relay, place, pooled = self.relay, self.beat % len(self.past), self.pool()
         old, self.past[place] = self.past[place] or [[[0] * ROW for _ in rows] for rows in pooled], pooled
-        recent = [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*rows)]
-                  for rows in zip(pooled, old)]
+        recent = [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*two)]
+                  for two in zip(pooled, old)]
         known = sum(row[0] + row[1] for row in pooled[1]) >= LEAST // 2    # else nothing to be held against
+        before, thin = self.verdict, sum(row[0] + row[1] for row in pooled[0]) < LEAST
+        heard = sum(relay.now - at < 2 * FRESH for at, _, _ in self.heard.values())
+        deaf = self.facts["may_tell"] and heard < (self.facts["relays"] - 1) / 2    # thin as it was lost
         if known and (self.fails(*pooled[:2]) or self.fails(recent[0], pooled[1])):
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
-            if self.worse(pooled, recent):
-                self.verdict = BACK
-            elif sum(row[0] + row[1] for row in pooled[0]) >= LEAST or relay.now >= self.due() + PATIENCE:
-                self.verdict = ON
-        self.vote(pooled)
+            known = not thin or (relay.now >= self.due() + PATIENCE and not deaf)
+            self.verdict = BACK if self.worse(pooled, recent) else ON if known else 0
+        if self.verdict != before:
+            relay.host.log(f"verdict {self.verdict} on build {relay.build} stage {relay.stage}:" + "".join(
+                f" {row[0]}-{row[1]}@{median(row[2:], EDGES):.2f}" for rows in pooled for row in rows))
 
-    def vote(self, pooled: list) -> None:
+    def vote(self) -> None:
         """Cast or renew; only for the build and stage last told."""
         relay, now, ballot = self.relay, self.relay.now, (self.relay.build, self.relay.stage, self.verdict)
         stands = self.cast == ballot and now - self.cast_at < self.facts["vote_life"] // 2
         useless = self.verdict == ON and (relay.phase != ON_TRIAL or self.facts["control"] == "timer")
-        if not self.verdict or stands or useless or now < self.busy_until or not self.sitting():
-            return
-        self.busy_until, self.voted = now + self.facts["vote_wait"] + SECOND // 10, ballot
-        relay.host.log(f"vote {self.verdict} on build {relay.build} stage {relay.stage}: " + " ".join(
-            f"{name}" + "".join(f" {row[0]}-{row[1]}@{median(row[2:]):.2f}" for row in group)
-            for name, group in zip(GROUPS, pooled)))
-        relay.host.vote(*ballot)
+        if self.verdict and not stands and not useless and now >= self.busy_until:
+            self.busy_until, self.voted = now + self.facts["vote_wait"] + SECOND // 10, ballot
+            relay.host.vote(*ballot)
 
     def answered(self, answer: str) -> None:
         self.busy_until = self.relay.now
@@ -520,14 +509,16 @@
         self.host, self.now, self.born, self.since = host, now, now, now
         self.facts = ABSENT | {name: fact for name, fact in facts.items() if fact != []}
         self.chance, self.index = Chance(seed), self.facts["index"]
-        self.workloads = [Workload(place, each) for place, each in enumerate(self.facts["workloads"])]
+        self.workloads = [Workload(at, ROW, ABSENT | each) for at, each in enumerate(self.facts["workloads"])]
         self.units: dict[int, Unit] = {}
+        self.rows: tuple[list[Unit], ...] = ([], [])             # of earlier builds, and on trial
         self.known: dict[int, Invocation] = {}   # taken, and not over or with shots still out
         self.build, self.stage, self.phase, self.told_cap = -1, 0, RELEASED, 1.0
         self.lowered, self.higher_cap = 0, 0.0   # when a cap was lowered, and from what
-        self.usual_work, self.patience, self.list_failures = 0.0, SECOND, 0
+        self.usual_work, self.patience, self.list_failures, self.room, self.warm_room = 0.0, SECOND, 0, 0.01, 0.0
         self.choice, self.admission, self.gate = Choice(self), Admission(self), Gate(self)
-        self.intake, self.trial, self.judge = Intake(self), Trial(self), Judge(self)
+        self.intake, self.trial = Intake(self), Trial(self)
+        self.judge = Judge(self)
         self.on_told, self.on_vote_answer = self.judge.hear, self.judge.answered
         chain = [self.intake, self.admission, self.trial, self.choice, self.gate]
         for before, after in zip(chain, chain[1:]):
@@ -543,8 +534,12 @@
             return 1.0
         return self.facts["cold_from"] + (1 - self.facts["cold_from"]) * age / self.facts["warm_up"]
 
-    def room(self) -> float:
-        return sum(unit.weight for unit in self.units.values()) or 0.01
+    def arrange(self) -> None:
+        """The units of earlier builds and those on trial, in this relay's own order; not for every shot."""
+        ordered = sorted(self.units.values(), key=lambda unit: mix(self.index, unit.number))
+        self.room = sum(unit.weight for unit in ordered) or 0.01
+        self.rows = tuple([unit for unit in ordered if self.on_trial(unit.build) == new] for new in (0, 1))
+        self.trial.weigh()
 
     def on_trial(self, build: int) -> bool:
         return build > self.build >= 0 or (build == self.build and self.phase != RELEASED)
@@ -553,30 +548,28 @@
         """The share that binds: the one last told; during its grace the higher one if nothing else runs."""
         if build != self.build:
             return self.facts["caps"][0]
-        if self.now < self.lowered + self.facts["drain_grace"] and not any(
-                not self.on_trial(unit.build) for unit in self.units.values()):
-            return max(self.told_cap, self.higher_cap)
-        return self.told_cap
+        grace = self.now < self.lowered + self.facts["drain_grace"] and not self.rows[0]
+        return max(self.told_cap, self.higher_cap) if grace else self.told_cap
 
     def on_list(self, kind: str, entries: list[tuple]) -> None:
         if kind == "failed":                     # ask again; a standing watch is not hurt by that
-            self.list_failures += 1
-            delay = min(5 * SECOND, SECOND // 5 * 2 ** min(5, self.list_failures))
-            return self.host.wake(self.now + int(delay * (0.5 + self.chance.share() / 2)), self.WAKE_LIST)
+            self.list_failures = min(5, self.list_failures + 1)
+            delay = SECOND / 5 * 2 ** self.list_failures * (0.5 + self.chance.share() / 2)
+            return self.host.wake(self.now + int(delay), self.WAKE_LIST)
         self.list_failures, kept = 0, self.units if kind == "changes" else {}
         for number, build, state, zone, cell, weight, started in entries:
             unit = self.units.get(number)
             if unit is None or unit.build != build or unit.started < started:
-                unit = Unit(number, build, started, Ring(self.facts["fall_span"], BUCKETS))
+                unit = Unit(number, build, started, -self.chance.share(), self.gate.even)
             unit.weight, unit.open, unit.zone, unit.cell = max(weight, 0.01), state == "open", zone, cell
             kept[number] = unit
         self.units = {number: unit for number, unit in kept.items() if unit.open}
+        self.arrange()
 
     def on_invocation(self, number: int, workload: int, customer: int, key: str | None, give_up: int,
                       work: int, repeat: bool) -> None:
         self.usual_work += 0.01 * (work - self.usual_work) if self.usual_work else work
-        size = work / self.usual_work if work else 1.0
-        mark = crc32(key.encode()) if key else None
+        size, mark = work / self.usual_work if work else 1.0, crc32(key.encode()) if key else None
         invocation = Invocation(number, self.workloads[workload], customer, mark, give_up, size, repeat)
         self.known[number] = invocation
         self.gate.taken[workload].add(self.now)
@@ -609,12 +602,15 @@
         if token == self.WAKE_BEAT:
             self.host.wake(self.now + SECOND // 2, self.WAKE_BEAT)
             self.known = {number: each for number, each in self.known.items() if not each.over or each.out()}
-            self.patience = max([workload.patience() for workload in self.workloads], default=SECOND)
+            self.patience = max([self.admission.patience(each) for each in self.workloads], default=SECOND)
+            self.admission.stuck = sum(unit.out for unit in self.units.values() if not self.choice.fit(unit))
             for unit in self.units.values():     # what is not tried again is slowly forgiven
                 unit.pace, unit.failing = unit.pace + 0.03 * (1 - unit.pace), 0.97 * unit.failing
-            if not any(self.on_trial(unit.build) for unit in self.units.values()):
+            if not self.rows[1]:
                 self.trial.lately = [0.92 * count for count in self.trial.lately]
+            self.choice.few = max(self.choice.FEW, 0.99 * self.choice.few)
             self.judge.consider()
+            (self.trial.weigh if self.judge.beat % 40 else self.arrange)()   # who went to the end is forgiven
             if self.judge.beat % 2:
                 self.judge.tell()
         elif token == self.WAKE_LIST:
@@ -632,9 +628,10 @@
             self.judge.new_build()
         if (build, stage, phase) != earlier:
             self.since = self.now - age
-            self.judge.verdict = 0
+            self.judge.draw()
+            self.arrange()
 
     def on_flag(self, unit: int, workload: int, age: int) -> None:
         if unit in self.units and self.units[unit].build == self.build:     # few are found, some falsely
-            row, weight = self.workloads[workload].row, min(3, round(1 / max(0.01, self.facts["flag_share"])))
-            self.trial.groups["canary"][row.start + 1] += weight
+            found = min(3, round(1 / max(0.01, self.facts["flag_share"])))
+            self.trial.groups["canary"][self.workloads[workload].row.start + 1] += found
