A shot alone at its unit is not called off: thin relays doubled the heaviest work

At one shot a second a unit 'has answered nothing since' for every shot, so the heaviest work was sent twice.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -38,7 +38,7 @@
 
 class Intake(Stage):
     """Takes invocations and gives each its one final answer, at once where nothing can be sent."""
-    FURTHER = 0.2                                # doubtful further shots an invocation: no storm of repeats
+    FURTHER, ALONE = 0.2, 9.0                    # doubtful shots an invocation: no storm; part of the promise
     purse = 1.0                                  # what many relays start with is not a storm either
 
     def forward(self, invocation: Invocation) -> None:
@@ -56,10 +56,12 @@
             self.relay.host.forfeit(invocation.number)
 
     def overdue(self, invocation: Invocation) -> None:
-        """A shot later than its kind, whose unit has answered nothing since (hung, dead), is called off."""
+        """A shot later than its kind, whose unit has answered nothing since (hung, dead), is called off: later if
+        it is alone there, for then silence tells little and its work may only be heavy."""
         shot = invocation.shots[-1]
         if not shot.ended and not invocation.over:
-            if shot.unit.waiting <= shot.sent and self.purse >= 1:
+            known = shot.unit.out > 1 or self.relay.now - shot.sent > self.ALONE * invocation.workload.promised
+            if shot.unit.waiting <= shot.sent and self.purse >= 1 and known:
                 return self.relay.host.cancel(invocation.number, len(invocation.shots) - 1)
             again = self.relay.now + self.relay.admission.patience(invocation.workload) // 2
             self.relay.host.wake(again, self.relay.WAKE_LATE + invocation.number)
