--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -38,7 +38,7 @@
 
 class Intake(Stage):
     """Takes invocations and gives each its one final answer, at once where nothing can be sent."""
-    FURTHER, ALONE = 0.2, 9.0                    # doubtful shots an invocation: no storm; part of the promise
+    FURTHER = 0.2                                # doubtful further shots an invocation: no storm of repeats
     purse = 1.0                                  # what many relays start with is not a storm either
 
     def forward(self, invocation: Invocation) -> None:
@@ -56,12 +56,11 @@
             self.relay.host.forfeit(invocation.number)
 
     def overdue(self, invocation: Invocation) -> None:
-        """A shot later than its kind, whose unit has answered nothing since (hung, dead), is called off: later if
-        it is alone there, for then silence tells little and its work may only be heavy."""
+        """A shot later than its kind is called off if its unit has answered nothing since, with others out there
+        too: hung or dead.  Alone it is not, for its work may only be heavy, and a cancel may not stop it."""
         shot = invocation.shots[-1]
         if not shot.ended and not invocation.over:
-            known = shot.unit.out > 1 or self.relay.now - shot.sent > self.ALONE * invocation.workload.promised
-            if shot.unit.waiting <= shot.sent and self.purse >= 1 and known:
+            if shot.unit.waiting <= shot.sent and shot.unit.out > 1 and self.purse >= 1:
                 return self.relay.host.cancel(invocation.number, len(invocation.shots) - 1)
             again = self.relay.now + self.relay.admission.patience(invocation.workload) // 2
             self.relay.host.wake(again, self.relay.WAKE_LATE + invocation.number)
@@ -78,7 +77,7 @@
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
-    LATE, RISE, CUT, LEAST = 0.8, 0.1, 0.8, 0.2  # late: of the promised time; under 1 chance decides
+    LATE, RISE, CUT, LEAST = 0.8, 0.1, 0.8, 0.4  # late: of the promised time; under 1 chance decides
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -117,7 +116,7 @@
         if late and shot.sent >= self.cut_at:    # of what is in use, and once for all shots of one jam
             self.limit, self.cut_at = max(self.LEAST, self.CUT * min(self.limit, out + 1)), self.relay.now
         elif outcome == "served" and not late and out > 0.5 * self.limit:
-            self.limit += min(self.RISE, self.RISE / 2 * self.limit)
+            self.limit += self.RISE
         if outcome in ("served", "timeout", "cancelled"):
             workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
             workload.mean += 0.05 * (latency_for_size - workload.mean)
