Under three shots the limit is a share of the invocations taken

Cause: a limit near one refuses every second shot of a relay with one shot a second, at no load at all.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -77,7 +77,8 @@
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
-    LATE, RISE, CUT, LEAST = 0.8, 0.1, 0.8, 0.4  # late: of the promised time; under 1 chance decides
+    LATE, RISE, CUT = 0.8, 0.1, 0.8              # late: of the promised time
+    FEW, LEAST = 3, 0.4                          # a limit under so few is a share taken, at the least this one
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -97,7 +98,8 @@
         if not invocation.shots:
             self.taken.add(self.relay.now, not invocation.repeat)
             self.by_customer[invocation.customer].add(self.relay.now)
-            if self.shots - self.stuck + self.relay.chance.share() > self.limit * self.part(invocation):
+            part, out = self.part(invocation), self.shots - self.stuck + 1
+            if out > part * max(self.FEW, self.limit) or self.relay.chance.share() > part * self.limit / self.FEW:
                 return False
         return self.next.forward(invocation)
 
@@ -114,9 +116,10 @@
         late = latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent
         out = self.shots - self.stuck + 1
         if late and shot.sent >= self.cut_at:    # of what is in use, and once for all shots of one jam
-            self.limit, self.cut_at = max(self.LEAST, self.CUT * min(self.limit, out + 1)), self.relay.now
-        elif outcome == "served" and not late and out > 0.5 * self.limit:
-            self.limit += self.RISE
+            used = min(self.limit, max(self.FEW, out + 1))
+            self.limit, self.cut_at = max(self.FEW * self.LEAST, self.CUT * used), self.relay.now
+        elif outcome == "served" and not late and (out > 0.5 * self.limit or self.limit < self.FEW):
+            self.limit += self.RISE * (1 if self.limit > self.FEW else self.FEW)
         if outcome in ("served", "timeout", "cancelled"):
             workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
             workload.mean += 0.05 * (latency_for_size - workload.mean)
