--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -77,7 +77,7 @@
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
-    LATE, RISE, CUT = 0.8, 0.1, 0.8              # late: of the promised time
+    LATE, EASY, RISE, CUT = 0.8, 0.5, 0.15, 0.75         # late, and with no queue: parts of the promised time
     FEW, LEAST = 3, 0.4                          # a limit under so few is a share taken, at the least this one
 
     def __init__(self, relay: "Relay") -> None:
@@ -118,8 +118,9 @@
         if late and shot.sent >= self.cut_at:    # of what is in use, and once for all shots of one jam
             used = min(self.limit, max(self.FEW, out + 1))
             self.limit, self.cut_at = max(self.FEW * self.LEAST, self.CUT * used), self.relay.now
-        elif outcome == "served" and not late and (out > 0.5 * self.limit or self.limit < self.FEW):
-            self.limit += self.RISE * (1 if self.limit > self.FEW else self.FEW)
+        elif outcome == "served" and (out > 0.5 * self.limit or self.limit < self.FEW):
+            rise = max(0.0, 1 - latency_for_size / (self.EASY * workload.promised))
+            self.limit += self.RISE * rise * (1 if self.limit > self.FEW else self.FEW)
         if outcome in ("served", "timeout", "cancelled"):
             workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
             workload.mean += 0.05 * (latency_for_size - workload.mean)
