Time-outs count as late where all answers are slow; the share taken may fall to 0.15

Cause: in a jam a relay of little traffic sees time-outs, not late answers, and 0.4 of retried traffic is still too much.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -78,7 +78,7 @@
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
     LATE, EASY, RISE, CUT = 0.8, 0.5, 0.15, 0.75         # late, and with no queue: parts of the promised time
-    FEW, LEAST = 3, 0.4                          # a limit under so few is a share taken, at the least this one
+    FEW, LEAST = 3, 0.15                         # a limit under so few is a share taken, at the least this one
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -113,7 +113,8 @@
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, latency_for_size = shot.invocation.workload, latency / max(1.0, shot.invocation.size)
-        late = latency_for_size > self.LATE * workload.promised and shot.unit.waiting >= shot.sent
+        late = latency_for_size > self.LATE * workload.promised and (     # of a silent unit: if all are slow
+            shot.unit.waiting >= shot.sent or workload.mean > self.EASY * workload.promised)
         out = self.shots - self.stuck + 1
         if late and shot.sent >= self.cut_at:    # of what is in use, and once for all shots of one jam
             used = min(self.limit, max(self.FEW, out + 1))
