--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -77,12 +77,12 @@
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
-    LATE, EASY, RISE, CUT = 0.8, 0.5, 0.15, 0.75         # late, and with no queue: parts of the promised time
+    LATE, EASY, RISE, CUT = 0.8, 0.5, 0.1, 0.25  # late, and with no queue: parts of the promised time
     FEW, LEAST = 3, 0.15                         # a limit under so few is a share taken, at the least this one
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        self.limit, self.cut_at = 40.0, 0
+        self.limit, self.cut, self.cut_at = 40.0, 0, 0
         self.shots = self.stuck = 0              # out there, and those with units that are hung
         self.taken = Ring(4 * SECOND, BUCKETS)
         self.by_customer = [Ring(4 * SECOND, BUCKETS) for _ in self.facts["customers"] or [{}]]
@@ -116,12 +116,14 @@
         late = latency_for_size > self.LATE * workload.promised and (     # of a silent unit: if all are slow
             shot.unit.waiting >= shot.sent or workload.mean > self.EASY * workload.promised)
         out = self.shots - self.stuck + 1
-        if late and shot.sent >= self.cut_at:    # of what is in use, and once for all shots of one jam
-            used = min(self.limit, max(self.FEW, out + 1))
-            self.limit, self.cut_at = max(self.FEW * self.LEAST, self.CUT * used), self.relay.now
-        elif outcome == "served" and (out > 0.5 * self.limit or self.limit < self.FEW):
-            rise = max(0.0, 1 - latency_for_size / (self.EASY * workload.promised))
-            self.limit += self.RISE * rise * (1 if self.limit > self.FEW else self.FEW)
+        if late and shot.sent >= self.cut_at:    # of what is in use; a cut by a third is given time to show
+            used, self.cut = min(self.limit, self.FEW * out), self.cut + 1
+            self.limit = max(self.FEW * self.LEAST, used - min(1.0, self.CUT * used))
+            if self.cut > self.limit / 2:
+                self.cut, self.cut_at = 0, self.relay.now
+        elif outcome == "served" and not late and (out > 0.5 * self.limit or self.limit < self.FEW):
+            easy = max(0.0, 1 - latency_for_size / (self.EASY * workload.promised))
+            self.limit += self.RISE if self.limit > self.FEW else 1.5 * self.FEW * self.RISE * easy
         if outcome in ("served", "timeout", "cancelled"):
             workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
             workload.mean += 0.05 * (latency_for_size - workload.mean)
