--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -82,7 +82,7 @@
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        self.limit, self.cut, self.cut_at = 40.0, 0, 0
+        self.limit, self.peak, self.cut, self.cut_at = 40.0, 1.0, 0, 0
         self.shots = self.stuck = 0              # out there, and those with units that are hung
         self.taken = Ring(4 * SECOND, BUCKETS)
         self.by_customer = [Ring(4 * SECOND, BUCKETS) for _ in self.facts["customers"] or [{}]]
@@ -99,6 +99,7 @@
             self.taken.add(self.relay.now, not invocation.repeat)
             self.by_customer[invocation.customer].add(self.relay.now)
             part, out = self.part(invocation), self.shots - self.stuck + 1
+            self.peak = max(out, 0.98 * self.peak)
             if out > part * max(self.FEW, self.limit) or self.relay.chance.share() > part * self.limit / self.FEW:
                 return False
         return self.next.forward(invocation)
@@ -117,7 +118,7 @@
             shot.unit.waiting >= shot.sent or workload.mean > self.EASY * workload.promised)
         out = self.shots - self.stuck + 1
         if late and shot.sent >= self.cut_at:    # of what is in use; a cut by a third is given time to show
-            used, self.cut = min(self.limit, self.FEW * out), self.cut + 1
+            used, self.cut = min(self.limit, 2 * max(out, self.peak)), self.cut + 1
             self.limit = max(self.FEW * self.LEAST, used - min(1.0, self.CUT * used))
             if self.cut > self.limit / 2:
                 self.cut, self.cut_at = 0, self.relay.now
