--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -29,7 +29,7 @@
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need: some are
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
-ALL_SLOWER, ALSO_SLOWER = 1.7, 1.2       # over before: earlier units, by traffic's rise squared; canary
+ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
 LISTED, LAUNCH = 0.7, 8 * SECOND                 # of a stage's units are to be seen, or this time has passed
@@ -206,19 +206,16 @@
             self.few += 1
             near += islice(fit, 1)
         while near:
-            unit = self.better(invocation, near)
+            unit = self.better(near)
             if self.next.forward(invocation, unit):
                 return True
             near.remove(unit)
             near += islice(fit, 1)               # cold, say: the next in the row
         return any(self.next.forward(invocation, unit) for unit in row if not self.fit(unit))
 
-    def better(self, invocation: Invocation, near: list[Unit]) -> Unit:
-        one, key_unit = self.relay.chance.pick(near), None
-        if invocation.key is not None and self.facts["warm_keys"]:      # units work faster for keys they know
-            one = key_unit = max(near, key=lambda unit: mix(invocation.key or 0, unit.number))
-        other = self.relay.chance.pick([unit for unit in near if unit is not one] or near)
-        return min((one, other), key=lambda unit: self.cost(unit) * (0.75 if unit is key_unit else 1))
+    def better(self, near: list[Unit]) -> Unit:
+        one = self.relay.chance.pick(near)
+        return min(one, self.relay.chance.pick([unit for unit in near if unit is not one] or near), key=self.cost)
 
     def cost(self, unit: Unit) -> float:
         """Chance decides between idle ones, by what they can do."""
