--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -28,7 +28,7 @@
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need: some are
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
-SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
+SLOWER, REJECT_AT, LEAST = 1.6, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
 ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
@@ -450,7 +450,8 @@
         traffic = [(relay.now, trial.taken(), trial.taken_before), *self.heard.values()]
         taken, then = (sum(each[at] for each in traffic if relay.now - each[0] < 2 * FRESH and each[2])
                        for at in (1, 2))
-        rise = max(1.0, taken / relay.room / (then or 0.01) * trial.room_before)
+        able = sum(unit.weight * relay.warmth(unit) for unit in relay.units.values()) or 0.01
+        rise = max(1.0, taken / able / (then or 0.01) * trial.room_before)
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
         return (slower(recent[0], before, ALSO_SLOWER, level)
                 and slower(now, before, ALL_SLOWER * rise ** 2, level))
