What cold units may get is saved for all of them together

Cause answered: with a debt for each unit and relay nearly every cold unit was refused and the build's few warm ones took all its traffic, so that the canary looked slow.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -28,7 +28,7 @@
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need: some are
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
-SLOWER, REJECT_AT, LEAST = 1.6, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
+SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
 ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
@@ -151,7 +151,11 @@
     def weigh(self) -> None:
         """The share of the build on trial: of its units, by what they can do now."""
         relay, (old, new) = self.relay, self.relay.rows
-        relay.warm_room = sum(unit.weight for unit in [*old, *new] if relay.warmth(unit) >= 1)
+        able = [(unit.weight, relay.warmth(unit)) for unit in [*old, *new]]
+        relay.warm_room = sum(weight for weight, warmth in able if warmth >= 1)
+        relay.cold_room = relay.gate.cold_part * sum(weight * warmth for weight, warmth in able if warmth < 1)
+        if not relay.cold_room:
+            relay.gate.credit = -relay.chance.share()
         mine, others = (sum(unit.weight * relay.warmth(unit) for unit in row) for row in (new, old))
         slow, usual = (sum(unit.pace for unit in row) / max(1, len(row)) for row in (new, old))
         self.share = mine / max(0.01, mine + others * max(1.0, slow / max(0.01, usual)))
@@ -161,7 +165,7 @@
     def forward(self, invocation: Invocation) -> bool:
         relay, (old, new) = self.relay, self.relay.rows
         if not relay.warm_room and not invocation.shots:
-            relay.gate.even += invocation.size / relay.room
+            relay.gate.save(invocation.size / relay.room)
         # Further shots keep off the build on trial.
         wanted = bool(new and old) and not invocation.shots and relay.chance.share() < self.share and \
             relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1
@@ -261,14 +265,15 @@
 
 class Gate(Stage):
     """Every send passes here; each of the five rules is kept at one place of it."""
-    COLD_PART = 1.5                              # of an even share, for what a cold unit can do now
+    COLD_PART, MOST_SAVED = 1.5, 2.0             # of an even share, for what a cold unit can do now; shots
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
         span = self.facts["exposure_span"]
         self.taken = [Ring(span, BUCKETS) for _ in relay.workloads]
         self.tried = defaultdict(lambda: [Ring(span, BUCKETS) for _ in relay.workloads])     # by build
-        self.even = 0.0                          # sent to warm units so far, for a weight of one
+        self.even, self.credit = 0.0, 0.0        # sent to warm units for a weight of one; saved for cold ones
+        self.cold_part = min(self.COLD_PART, self.facts["fall_multiple"] / 2)
         self.answered: dict[int, int] = {}       # key -> build that answered it (one-way roll-outs)
 
     def forward(self, invocation: Invocation, unit: Unit) -> bool:
@@ -281,9 +286,10 @@
         unit.waiting = unit.waiting if unit.out else now
         unit.out += 1
         relay.admission.shots += 1
-        unit.credit -= invocation.size
         if shot.warmth >= 1:
-            self.even += invocation.size / max(relay.warm_room, unit.weight)
+            self.save(invocation.size / max(relay.warm_room, unit.weight))
+        else:
+            self.credit, unit.credit = self.credit - invocation.size, unit.credit - invocation.size
         self.tried[unit.build][invocation.workload.place].add(now)
         left, patience = invocation.give_up - now, self.relay.admission.patience(invocation.workload)
         if invocation.workload.effect == "harmless" and left > 2 * patience \
@@ -319,15 +325,18 @@
     def listed(self, unit: Unit) -> bool:
         return self.relay.units.get(unit.number) is unit
 
-    # No cold unit pushed over: it gets at most an even share of what this relay sends to warm ones (with none
-    # left: of what it takes), by the least it can do now.  The share is saved up from a debt drawn by chance:
-    # a floor of one shot a relay would be hundreds of shots from all of them.
+    # No cold unit pushed over: they get at most an even share of what this relay sends to warm ones (with none
+    # left: of what it takes), by the least they can do now.  For all of them that share is saved up from a debt
+    # drawn by chance, as a floor of one shot a relay would be hundreds; one of them gets its own, or one shot.
     def warm_enough(self, invocation: Invocation, unit: Unit) -> bool:
         warmth = self.relay.warmth(unit)
         if warmth < 1:
-            part = min(self.COLD_PART, self.facts["fall_multiple"] / 2) * warmth * unit.weight
-            unit.credit, unit.even = min(1.0, unit.credit + (self.even - unit.even) * part), self.even
-        return warmth >= 1 or (unit.credit >= 0 and invocation.size <= 3)
+            grown = (self.even - unit.even) * self.cold_part * warmth * unit.weight
+            unit.credit, unit.even = min(1.0, unit.credit + grown), self.even
+        return warmth >= 1 or (self.credit >= 0 and min(1, invocation.size) <= unit.credit and invocation.size <= 3)
+
+    def save(self, even: float) -> None:
+        self.even, self.credit = self.even + even, min(self.MOST_SAVED, self.credit + even * self.relay.cold_room)
 
     # Exposure within the cap.
     def exposed(self, invocation: Invocation, unit: Unit) -> bool:
@@ -450,8 +459,7 @@
         traffic = [(relay.now, trial.taken(), trial.taken_before), *self.heard.values()]
         taken, then = (sum(each[at] for each in traffic if relay.now - each[0] < 2 * FRESH and each[2])
                        for at in (1, 2))
-        able = sum(unit.weight * relay.warmth(unit) for unit in relay.units.values()) or 0.01
-        rise = max(1.0, taken / able / (then or 0.01) * trial.room_before)
+        rise = max(1.0, taken / relay.room / (then or 0.01) * trial.room_before)
         now = recent[1] if sum(row[0] for row in recent[1]) >= LEAST else recent[0]
         return (slower(recent[0], before, ALSO_SLOWER, level)
                 and slower(now, before, ALL_SLOWER * rise ** 2, level))
@@ -522,7 +530,8 @@
         self.known: dict[int, Invocation] = {}   # taken, and not over or with shots still out
         self.build, self.stage, self.phase, self.told_cap = -1, 0, RELEASED, 1.0
         self.lowered, self.higher_cap = 0, 0.0   # when a cap was lowered, and from what
-        self.usual_work, self.patience, self.list_failures, self.room, self.warm_room = 0.0, SECOND, 0, 0.01, 0.0
+        self.usual_work, self.patience, self.list_failures = 0.0, SECOND, 0
+        self.room, self.warm_room, self.cold_room = 0.01, 0.0, 0.0       # weights: all, warm, what cold can do
         self.choice, self.admission, self.gate = Choice(self), Admission(self), Gate(self)
         self.intake, self.trial = Intake(self), Trial(self)
         self.judge = Judge(self)
@@ -567,7 +576,7 @@
         for number, build, state, zone, cell, weight, started in entries:
             unit = self.units.get(number)
             if unit is None or unit.build != build or unit.started < started:
-                unit = Unit(number, build, started, -self.chance.share(), self.gate.even)
+                unit = Unit(number, build, started, 1.0, self.gate.even)
             unit.weight, unit.open, unit.zone, unit.cell = max(weight, 0.01), state == "open", zone, cell
             kept[number] = unit
         self.units = {number: unit for number, unit in kept.items() if unit.open}
