A unit stands out only among units seen lately; later stages judge times on warm units

Cause: units a relay never sends to counted as units without errors, so after the release every error was its unit's own; a build that turns bad with age stayed.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -188,8 +188,10 @@
             own = unit.build == self.build and self.relay.choice.stands_out(unit)
             shot.group[workload.row.start] += outcome == "served"
             shot.group[workload.row.start + 1] += outcome == "error" and not own
-            if outcome == "served" and self.relay.now - unit.started > SKIP:
-                shot.group[bucket] += 1          # a cold unit's time counts by its warmth at the least
+            # A cold unit's time counts by its warmth at the least, and only where no stage before left warm ones.
+            if outcome == "served" and (shot.warmth >= 1 or (
+                    not self.relay.stage and self.relay.now - unit.started > SKIP)):
+                shot.group[bucket] += 1
         if outcome == "served" and shot.warmth >= 1 and not self.relay.on_trial(unit.build):
             self.lately[bucket] += 1
         super().backward(shot, outcome, latency)
@@ -236,10 +238,12 @@
     def stands_out(self, unit: Unit) -> bool:
         """Its errors are its own: its build's other units do much better and earlier units fail too or, with
         none left, under a third of the build's.  Few that fail in a build on trial alone count against it."""
-        others, elsewhere = ([other.failing for other in self.relay.units.values() if other is not unit
-                              and (other.build == unit.build) == here] for here in (True, False))
+        seen = [other for other in self.relay.units.values()
+                if other is not unit and other.waiting > self.relay.now - 10 * SECOND]
+        others, elsewhere = ([other.failing for other in seen if (other.build == unit.build) == here]
+                             for here in (True, False))
         few = max(elsewhere) > 0.1 if elsewhere else 3 * sum(each > 0.05 for each in others) < len(others)
-        return few and unit.failing > 3 * sum(others) / max(1, len(others))
+        return len(others) > 1 and few and unit.failing > 3 * sum(others) / len(others)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         unit, now, workload = shot.unit, self.relay.now, shot.invocation.workload
