--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -29,6 +29,7 @@
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need: some are
 EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
 SLOWER, REJECT_AT, LEAST = 1.5, 0.01, 20         # rank test: medians' ratio, level of all stages, outcomes
+UNEVEN = 0.3                                     # of a unit's speed, in the margin of few canary units
 ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 SKIP = 2 * SECOND                                # of each new unit's life is no evidence on times
 HORIZON = 3 * SECOND + SECOND // 4               # after the newest listed start (the clock's: a second)
@@ -458,8 +459,9 @@
         it has shots, the earlier units now against the time before, more than a rise of traffic explains."""
         canary, baseline, before = pooled
         level, trial, relay = REJECT_AT / len(self.facts["stage_shares"]), self.relay.trial, self.relay
-        if slower(canary, baseline, SLOWER, level):
-            return True
+        units = sum(unit.build == relay.build for unit in relay.units.values())
+        if slower(canary, baseline, SLOWER * (1 + UNEVEN / sqrt(units or 1)), level):
+            return True                          # few units may be slow machines; later stages have more
         traffic = [(relay.now, trial.taken(), trial.taken_before), *self.heard.values()]
         taken, then = (sum(each[at] for each in traffic if relay.now - each[0] < 2 * FRESH and each[2])
                        for at in (1, 2))
