One draw an invocation decides whether a cold unit gets it

Cause: a share that is saved up comes seconds late at one shot a second, and the warm units of the build on trial carried the cold ones' part.

--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -79,9 +79,9 @@
 class Unit:
     """A unit as this relay sees it.  A new start or another build makes a new Unit, cold again."""
 
-    def __init__(self, number: int, build: int, started: int, credit: float, even: float) -> None:
+    def __init__(self, number: int, build: int, started: int, even: float) -> None:
         self.number, self.build, self.started = number, build, started
-        self.credit, self.even = credit, even    # what it may get while cold, and up to when that is summed
+        self.credit, self.even = 1.0, even       # what it may get while cold, and up to when that is summed
         self.weight, self.open, self.zone, self.cell = 1.0, True, 0, 0
         self.out, self.waiting = 0, 0            # our shots out there, and since when with no answer at all
         self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
@@ -95,7 +95,7 @@
         self.number, self.workload, self.customer, self.key = number, workload, customer, key
         self.give_up, self.size, self.repeat = give_up, size, repeat
         self.shots: list[Shot] = []
-        self.over = False
+        self.over, self.luck = False, 1.0        # the luck that decides whether a cold unit may get it
 
     def out(self) -> int:
         return sum(not shot.ended for shot in self.shots)
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -152,21 +152,20 @@
     def weigh(self) -> None:
         """The share of the build on trial: of its units, by what they can do now."""
         relay, (old, new) = self.relay, self.relay.rows
-        able = [(unit.weight, relay.warmth(unit)) for unit in [*old, *new]]
-        relay.warm_room = sum(weight for weight, warmth in able if warmth >= 1)
-        relay.cold_room = relay.gate.cold_part * sum(weight * warmth for weight, warmth in able if warmth < 1)
-        if not relay.cold_room:
-            relay.gate.credit = -relay.chance.share()
-        mine, others = (sum(unit.weight * relay.warmth(unit) for unit in row) for row in (new, old))
+        able = [[(unit.weight, relay.warmth(unit)) for unit in row] for row in (old, new)]
+        relay.warm_room = sum(weight for row in able for weight, warmth in row if warmth >= 1)
+        others, mine = (sum(weight * warmth for weight, warmth in row) or 0.01 for row in able)
+        relay.cold_share = [sum(weight * warmth for weight, warmth in row if warmth < 1) / room
+                            * (others + mine) / relay.room for row, room in zip(able, (others, mine))]
         slow, usual = (sum(unit.pace for unit in row) / max(1, len(row)) for row in (new, old))
-        self.share = mine / max(0.01, mine + others * max(1.0, slow / max(0.01, usual)))
+        self.share = mine / (mine + others * max(1.0, slow / max(0.01, usual)))
         if relay.judge.verdict == BACK or relay.phase == GOING_BACK:
             self.share = max(0.0, 1 - BEAR * (1 - self.share))   # earlier units get what they can bear
 
     def forward(self, invocation: Invocation) -> bool:
         relay, (old, new) = self.relay, self.relay.rows
         if not relay.warm_room and not invocation.shots:
-            relay.gate.save(invocation.size / relay.room)
+            relay.gate.even += invocation.size / relay.room
         # Further shots keep off the build on trial.
         wanted = bool(new and old) and not invocation.shots and relay.chance.share() < self.share and \
             relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1
@@ -207,6 +206,8 @@
 
     def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
         used = [shot.unit for shot in invocation.shots]
+        if invocation.luck < self.relay.cold_share[row is self.relay.rows[1]]:
+            row = [unit for unit in row if self.relay.warmth(unit) < 1] + row
         fit = (unit for unit in row if self.fit(unit) and unit not in used)
         near = list(islice(fit, int(self.few)))
         if near and all(unit.out for unit in near):
@@ -270,15 +271,14 @@
 
 class Gate(Stage):
     """Every send passes here; each of the five rules is kept at one place of it."""
-    COLD_PART, MOST_SAVED = 1.5, 2.0             # of an even share, for what a cold unit can do now; shots
+    COLD_PART = 1.5                              # of an even share, for what a cold unit can do now
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
         span = self.facts["exposure_span"]
         self.taken = [Ring(span, BUCKETS) for _ in relay.workloads]
         self.tried = defaultdict(lambda: [Ring(span, BUCKETS) for _ in relay.workloads])     # by build
-        self.even, self.credit = 0.0, 0.0        # sent to warm units for a weight of one; saved for cold ones
-        self.cold_part = min(self.COLD_PART, self.facts["fall_multiple"] / 2)
+        self.even = 0.0                          # sent to warm units so far, for a weight of one
         self.answered: dict[int, int] = {}       # key -> build that answered it (one-way roll-outs)
 
     def forward(self, invocation: Invocation, unit: Unit) -> bool:
@@ -292,9 +292,8 @@
         unit.out += 1
         relay.admission.shots += 1
         if shot.warmth >= 1:
-            self.save(invocation.size / max(relay.warm_room, unit.weight))
-        else:
-            self.credit, unit.credit = self.credit - invocation.size, unit.credit - invocation.size
+            self.even += invocation.size / max(relay.warm_room, unit.weight)
+        unit.credit -= invocation.size
         self.tried[unit.build][invocation.workload.place].add(now)
         left, patience = invocation.give_up - now, self.relay.admission.patience(invocation.workload)
         if invocation.workload.effect == "harmless" and left > 2 * patience \
@@ -330,18 +329,16 @@
     def listed(self, unit: Unit) -> bool:
         return self.relay.units.get(unit.number) is unit
 
-    # No cold unit pushed over: they get at most an even share of what this relay sends to warm ones (with none
-    # left: of what it takes), by the least they can do now.  For all of them that share is saved up from a debt
-    # drawn by chance, as a floor of one shot a relay would be hundreds; one of them gets its own, or one shot.
+    # No cold unit pushed over: cold units together get an even share of what their build gets, by the least they
+    # can do now, as one draw an invocation decides: a floor of one shot a relay would be hundreds of shots, and
+    # a share that is saved up comes too late.  One unit gets what this relay sends a warm one, or one shot.
     def warm_enough(self, invocation: Invocation, unit: Unit) -> bool:
-        warmth = self.relay.warmth(unit)
+        relay, warmth = self.relay, self.relay.warmth(unit)
         if warmth < 1:
-            grown = (self.even - unit.even) * self.cold_part * warmth * unit.weight
+            grown = (self.even - unit.even) * self.COLD_PART * warmth * unit.weight
             unit.credit, unit.even = min(1.0, unit.credit + grown), self.even
-        return warmth >= 1 or (self.credit >= 0 and min(1, invocation.size) <= unit.credit and invocation.size <= 3)
-
-    def save(self, even: float) -> None:
-        self.even, self.credit = self.even + even, min(self.MOST_SAVED, self.credit + even * self.relay.cold_room)
+        return warmth >= 1 or (invocation.luck < relay.cold_share[relay.on_trial(unit.build)]
+                               and unit.credit >= min(1, invocation.size) and invocation.size <= 3)
 
     # Exposure within the cap.
     def exposed(self, invocation: Invocation, unit: Unit) -> bool:
@@ -537,7 +534,7 @@
         self.build, self.stage, self.phase, self.told_cap = -1, 0, RELEASED, 1.0
         self.lowered, self.higher_cap = 0, 0.0   # when a cap was lowered, and from what
         self.usual_work, self.patience, self.list_failures = 0.0, SECOND, 0
-        self.room, self.warm_room, self.cold_room = 0.01, 0.0, 0.0       # weights: all, warm, what cold can do
+        self.room, self.warm_room, self.cold_share = 0.01, 0.0, [0.0, 0.0]   # weights: all, warm; each row's cold
         self.choice, self.admission, self.gate = Choice(self), Admission(self), Gate(self)
         self.intake, self.trial = Intake(self), Trial(self)
         self.judge = Judge(self)
@@ -582,7 +579,7 @@
         for number, build, state, zone, cell, weight, started in entries:
             unit = self.units.get(number)
             if unit is None or unit.build != build or unit.started < started:
-                unit = Unit(number, build, started, 1.0, self.gate.even)
+                unit = Unit(number, build, started, self.gate.even)
             unit.weight, unit.open, unit.zone, unit.cell = max(weight, 0.01), state == "open", zone, cell
             kept[number] = unit
         self.units = {number: unit for number, unit in kept.items() if unit.open}
@@ -593,6 +590,7 @@
         self.usual_work += 0.01 * (work - self.usual_work) if self.usual_work else work
         size, mark = work / self.usual_work if work else 1.0, crc32(key.encode()) if key else None
         invocation = Invocation(number, self.workloads[workload], customer, mark, give_up, size, repeat)
+        invocation.luck = self.chance.share()
         self.known[number] = invocation
         self.gate.taken[workload].add(self.now)
         self.intake.forward(invocation)
