--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -231,7 +231,7 @@
         others, elsewhere = ([other.failing for other in seen if (other.build == unit.build) == here]
                              for here in (True, False))
         few = max(elsewhere) > 0.1 if elsewhere else 3 * sum(each > 0.05 for each in others) < len(others)
-        return len(others) > 1 and few and unit.failing > 3 * sum(others) / len(others)
+        return len(others) > 1 and few and unit.failing > max(0.3, 3 * sum(others) / len(others))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         unit, now, workload = shot.unit, self.relay.now, shot.invocation.workload
