--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -103,10 +103,9 @@
     def part(self, invocation: Invocation) -> float:
         best, now = max(workload.payoff / workload.mean for workload in self.relay.workloads), self.relay.now
         part = 1.0 if invocation.workload.payoff / invocation.workload.mean > 0.7 * best else 0.85
-        if not self.facts["customers"]:
-            return part
-        fair = 1.3 * self.facts["customers"][invocation.customer].get("share", 1) * self.taken.total(now)
-        return part / min(2.0, max(1.0, self.by_customer[invocation.customer].total(now) / max(10.0, fair)))
+        share = (self.facts["customers"] or [{}])[invocation.customer].get("share", 2)
+        fair = max(10.0, 1.3 * share * self.taken.total(now))
+        return part / min(2.0, max(1.0, self.by_customer[invocation.customer].total(now) / fair))
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         workload, latency_for_size = shot.invocation.workload, latency / max(1.0, shot.invocation.size)
@@ -147,8 +146,9 @@
         able = [[(unit.weight, relay.warmth(unit)) for unit in row] for row in (old, new)]
         relay.warm_room = sum(weight for row in able for weight, warmth in row if warmth >= 1)
         others, mine = (sum(weight * warmth for weight, warmth in row) or 0.01 for row in able)
-        relay.cold_share = [sum(weight * warmth for weight, warmth in row if warmth < 1) / room
-                            * (others + mine) / relay.room for row, room in zip(able, (others, mine))]
+        cold = [sum(weight * warmth for weight, warmth in row if warmth < 1) / relay.room for row in able]
+        relay.cold_share = [(each / 2, each * (others + mine) / room)    # if drawn for the other row, or this
+                            for each, room in zip(cold, (others, mine))]
         slow, usual = (sum(unit.pace for unit in row) / max(1, len(row)) for row in (new, old))
         self.share = mine / (mine + others * max(1.0, slow / max(0.01, usual)))
         if relay.judge.verdict == BACK or relay.phase == GOING_BACK:
@@ -158,8 +158,9 @@
         relay, (old, new) = self.relay, self.relay.rows
         if not relay.warm_room and not invocation.shots:
             relay.gate.even += invocation.size / relay.room
-        wanted = bool(new and old) and not invocation.shots and relay.chance.share() < self.share and \
-            relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1
+        invocation.drawn = None if invocation.shots else bool(new) and (
+            not old or relay.chance.share() < self.share)
+        wanted = invocation.drawn and old and relay.gate.allowance(invocation, new[0].build, TRIAL_PART) >= 1
         # Departure: what earlier units cannot take (none left, cold ones full) may use the whole allowance.
         return any(self.next.forward(invocation, row) for row in ((new, old) if wanted else (old, new)))
 
@@ -192,8 +193,9 @@
     few = FEW
 
     def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
-        used, few = [shot.unit for shot in invocation.shots], int(self.few)
-        if invocation.luck < self.relay.cold_share[row is self.relay.rows[1]]:
+        used, few, pick = [shot.unit for shot in invocation.shots], int(self.few), self.relay.chance.pick
+        side = row is self.relay.rows[1]
+        if invocation.luck < self.relay.cold_share[side][invocation.drawn is side]:
             cold = [unit for unit in row if self.relay.warmth(unit) < 1]
             row, few = cold + row, min(few, len(cold))
         fit = (unit for unit in row if self.fit(unit) and unit not in used)
@@ -202,9 +204,8 @@
             self.few += 1
             near += islice(fit, 1)
         while near:
-            one = self.relay.chance.pick(near)
-            other = self.relay.chance.pick([unit for unit in near if unit is not one] or near)
-            unit = min(one, other, key=self.cost)
+            one = pick(near)
+            unit = min(one, pick([unit for unit in near if unit is not one] or near), key=self.cost)
             if self.next.forward(invocation, unit):
                 return True
             near.remove(unit)
@@ -322,7 +323,8 @@
         if warmth < 1:
             grown = (self.even - unit.even) * self.COLD_PART * warmth * unit.weight
             unit.credit, unit.even = min(1.0, unit.credit + grown), self.even
-        return warmth >= 1 or (invocation.luck < relay.cold_share[relay.on_trial(unit.build)]
+        side = relay.on_trial(unit.build)
+        return warmth >= 1 or (invocation.luck < relay.cold_share[side][invocation.drawn is side]
                                and unit.credit >= min(1, invocation.size) and invocation.size <= 3)
 
     # Exposure within the cap.
@@ -338,10 +340,9 @@
         return not guarded and relay.cap(unit.build) > 0 and self.allowance(invocation, unit.build) >= 1
 
     def allowance(self, invocation: Invocation, build: int, part: float = 1.0) -> float:
-        """Shots at a build that are left in the window (partial oldest buckets count against us)."""
         now, place = self.relay.now, invocation.workload.place
         rows = slice(place, place + 1) if self.facts["exposure_per"] == "class" else slice(None)
-        tried = sum(ring.total(now, partial=True) for ring in self.tried[build][rows])
+        tried = sum(ring.total(now, partial=True) for ring in self.tried[build][rows])   # counts against us
         taken = sum(ring.total(now) for ring in self.taken[rows])
         return part * (self.facts["free_shots"] + self.relay.cap(build) * taken) - tried
 
@@ -514,7 +515,7 @@
         self.known: dict[int, Invocation] = {}   # taken, and not over or with shots still out
         self.build, self.stage, self.phase, self.told_cap = -1, 0, RELEASED, 1.0
         self.lowered, self.higher_cap = 0, 0.0   # when a cap was lowered, and from what
-        self.usual_work, self.patience, self.cold_share = 0.0, SECOND, [0.0, 0.0]    # the last of each row
+        self.usual_work, self.patience, self.cold_share = 0.0, SECOND, [(0.0, 0.0)] * 2      # the last by row
         self.room, self.warm_room = 0.01, 0.0    # weights of all units and of the warm ones
         self.choice, self.admission, self.gate = Choice(self), Admission(self), Gate(self)
         self.intake, self.trial = Intake(self), Trial(self)
@@ -545,11 +546,10 @@
         return build > self.build >= 0 or (build == self.build and self.phase != RELEASED)
 
     def cap(self, build: int) -> float:
-        """The share that binds: the one last told; during its grace the higher one if nothing else runs."""
-        if build != self.build:
-            return self.facts["caps"][0]
+        """The share last told; during its grace the higher one if nothing else runs."""
         grace = self.now < self.lowered + self.facts["drain_grace"] and not self.rows[0]
-        return max(self.told_cap, self.higher_cap) if grace else self.told_cap
+        told = max(self.told_cap, self.higher_cap) if grace else self.told_cap
+        return told if build == self.build else self.facts["caps"][0]
 
     def on_list(self, kind: str, entries: list[tuple]) -> None:
         if kind == "failed":                     # ask again; a standing watch is not hurt by that
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -156,7 +156,7 @@
         story = Story(units=1)
         story.relay.on_stage(2, 0, policy.ON_TRIAL, 1.0, 0)
         story.lists([story.unit(0, 2, started=story.relay.now)])
-        story.relay.cold_share = [1.0, 1.0]
+        story.relay.cold_share = [(1.0, 1.0)] * 2
         story.serve(latency=3000)
         row = story.relay.trial.groups["canary"]
         self.assertEqual((row[0], sum(row[2:])), (1, 0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -119,6 +119,18 @@
         self.assertLess(len(story.sent()), 100)
 
 
+    def test_on_the_way_back_the_first_cold_earlier_unit_does_not_get_everything(self) -> None:
+        story = Story(units=20)
+        story.relay.on_stage(2, 1, policy.GOING_BACK, 0.0, 0)
+        story.lists([story.unit(number, 1 + (number > 0), started=story.relay.now * (number == 0))
+                     for number in range(20)])
+        story.later(SECOND)                                      # the grace of the lowered cap is over
+        for _ in range(200):
+            story.take()
+            story.relay.units[0].credit = 1.0                    # as if of another relay each
+        self.assertLess(len(story.sent()), 20)
+
+
 class ExposureStaysWithinTheCap(unittest.TestCase):
     def shots(self, story: Story, many: int = 100) -> int:
         for _ in range(many):
