--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -73,7 +73,7 @@
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
-    LATE, EASY, RISE, CUT = 0.8, 0.5, 0.1, 0.25  # late, and with no queue: parts of the promised time
+    LATE, EASY, RISE, CUT = 0.8, 0.5, 0.1, 0.4   # late, and with no queue: parts of the promised time
     FEW, LEAST = 3, 0.15                         # under so few the limit is a share taken, at least this one
 
     def __init__(self, relay: "Relay") -> None:
@@ -118,7 +118,7 @@
                 self.cut, self.cut_at = 0, self.relay.now
         elif outcome == "served" and not late and (out > 0.5 * self.limit or self.limit < self.FEW):
             easy = max(0.0, 1 - latency_for_size / (self.EASY * workload.promised))
-            self.limit += self.RISE if self.limit > self.FEW else 1.5 * self.FEW * self.RISE * easy
+            self.limit += self.RISE if self.limit > self.FEW else self.FEW * self.RISE * easy
         if outcome in ("served", "timeout", "cancelled"):
             workload.deviation += 0.05 * (abs(latency_for_size - workload.mean) - workload.deviation)
             workload.mean += 0.05 * (latency_for_size - workload.mean)
