Units that need a new connection cost more the more shots found none

Also guards where units take few connections; could harm by crowding the units known while the others are idle.

--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -84,6 +84,7 @@
         self.credit, self.even = 1.0, even       # what it may get while cold, and up to when that is summed
         self.weight, self.open, self.zone, self.cell = 1.0, True, 0, 0
         self.out, self.waiting = 0, 0            # our shots out there, and since when with no answer at all
+        self.met = -1 << 60                      # when it last answered us
         self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
         self.util, self.queue, self.load_at = 0.0, 0.0, 0
         self.rest_until, self.rest = 0, 0
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -100,6 +100,9 @@
                 return False
         return self.next.forward(invocation)
 
+    def lately(self) -> int:
+        return int(self.taken.total(self.relay.now))
+
     def part(self, invocation: Invocation) -> float:
         best, now = max(workload.payoff / workload.mean for workload in self.relay.workloads), self.relay.now
         part = 1.0 if invocation.workload.payoff / invocation.workload.mean > 0.7 * best else 0.85
@@ -136,10 +139,7 @@
     def new_build(self, build: int) -> None:
         self.build, self.owed = build, 0.0       # how far the canary group is ahead of the baseline
         self.groups = {name: [int(count) * (name == "before") for count in self.lately] for name in GROUPS}
-        self.taken_before, self.room_before = self.taken(), self.relay.room
-
-    def taken(self) -> int:
-        return int(self.relay.admission.taken.total(self.relay.now))
+        self.taken_before, self.room_before = self.relay.admission.lately(), self.relay.room
 
     def weigh(self) -> None:
         relay, (old, new) = self.relay, self.relay.rows
@@ -189,8 +189,8 @@
 class Choice(Stage):
     """Which unit: two random choices in the build among few units, in an order drawn by this relay's number,
     one more whenever those are all busy: with little traffic it opens few connections and knows its units."""
-    REST, LONGEST_REST, FEW = SECOND // 2, 4 * SECOND, 4
-    few = FEW
+    REST, LONGEST_REST, FEW, NEW = SECOND // 2, 4 * SECOND, 4, 8
+    few, cut_off = FEW, 0.0                      # units in use; of late, shots that found no connection
 
     def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
         used, few, pick = [shot.unit for shot in invocation.shots], int(self.few), self.relay.chance.pick
@@ -213,8 +213,8 @@
         return any(self.next.forward(invocation, unit) for unit in row if unit in used or not self.fit(unit))
 
     def cost(self, unit: Unit) -> float:
-        """Chance decides between idle ones, by what they can do."""
-        cost = (unit.out + self.relay.chance.share()) * unit.pace / (unit.weight * self.relay.warmth(unit))
+        new = self.NEW * self.cut_off * (unit.met < self.relay.now - 10 * SECOND)    # needs a connection
+        cost = (unit.out + new + self.relay.chance.share()) * unit.pace / unit.weight / self.relay.warmth(unit)
         if self.relay.now - unit.load_at < 2 * SECOND:
             cost *= 1 + 2 * unit.util * unit.util + unit.queue / 4
         return cost
@@ -228,7 +228,7 @@
         """Its errors are its own: its build's other units do much better and earlier units fail too or, with
         none left, under a third of the build's.  Few that fail in a build on trial alone count against it."""
         seen = [other for other in self.relay.units.values()
-                if other is not unit and other.waiting > self.relay.now - 10 * SECOND]
+                if other is not unit and other.met > self.relay.now - 10 * SECOND]
         others, elsewhere = ([other.failing for other in seen if (other.build == unit.build) == here]
                              for here in (True, False))
         few = max(elsewhere) > 0.1 if elsewhere else 3 * sum(each > 0.05 for each in others) < len(others)
@@ -238,8 +238,9 @@
         unit, now, workload = shot.unit, self.relay.now, shot.invocation.workload
         unit.out -= 1
         self.relay.admission.shots -= 1
+        self.cut_off += 0.1 * ((outcome == "unreachable") - self.cut_off)
         if outcome in ("served", "error"):
-            unit.waiting = now
+            unit.waiting = unit.met = now
             unit.failing += 0.15 * ((outcome == "error") - unit.failing)
         late = outcome in ("timeout", "cancelled") and latency >= self.relay.admission.patience(workload)
         if outcome == "served" or late:
@@ -316,16 +317,16 @@
     def listed(self, unit: Unit) -> bool:
         return self.relay.units.get(unit.number) is unit
 
-    # No cold unit pushed over: cold units get their even share by the least they can do now, as one draw an
+    # No cold unit pushed over: cold units get an even share by the least they can do now, as one draw an
     # invocation decides (a floor of one shot a relay adds up to hundreds); one unit a warm one's or one shot.
     def warm_enough(self, invocation: Invocation, unit: Unit) -> bool:
         relay, warmth = self.relay, self.relay.warmth(unit)
         if warmth < 1:
             grown = (self.even - unit.even) * self.COLD_PART * warmth * unit.weight
             unit.credit, unit.even = min(1.0, unit.credit + grown), self.even
-        side = relay.on_trial(unit.build)
+        side, size = relay.on_trial(unit.build), invocation.size
         return warmth >= 1 or (invocation.luck < relay.cold_share[side][invocation.drawn is side]
-                               and unit.credit >= min(1, invocation.size) and invocation.size <= 3)
+                               and unit.credit >= min(1, size) and size <= 3)
 
     # Exposure within the cap.
     def exposed(self, invocation: Invocation, unit: Unit) -> bool:
@@ -407,7 +408,7 @@
         cells = [(cell, count) for cell, (count, told) in enumerate(zip(counts, self.told))
                  if count and (whole or count != told)]
         self.told = counts
-        for data in count_notes(trial.build, relay.born, trial.taken(), trial.taken_before, cells):
+        for data in count_notes(trial.build, relay.born, relay.admission.lately(), trial.taken_before, cells):
             for index in self.order[:JUDGES + 1] if cells or self.place <= JUDGES else ():
                 if index != relay.index:
                     tell(index, data)
@@ -443,7 +444,7 @@
         units = sum(unit.build == relay.build for unit in relay.units.values()) or 1
         if slower(canary, baseline, SLOWER * (1 + UNEVEN / sqrt(units)), level):
             return True                          # few units may be slow machines; later stages have more
-        traffic = [(relay.now, trial.taken(), trial.taken_before), *self.heard.values()]
+        traffic = [(relay.now, relay.admission.lately(), trial.taken_before), *self.heard.values()]
         taken, then = (sum(each[at] for each in traffic if relay.now - each[0] < 2 * FRESH and each[2])
                        for at in (1, 2))
         rise = max(1.0, taken / relay.room / (then or 0.01) * trial.room_before)
@@ -546,7 +547,6 @@
         return build > self.build >= 0 or (build == self.build and self.phase != RELEASED)
 
     def cap(self, build: int) -> float:
-        """The share last told; during its grace the higher one if nothing else runs."""
         grace = self.now < self.lowered + self.facts["drain_grace"] and not self.rows[0]
         told = max(self.told_cap, self.higher_cap) if grace else self.told_cap
         return told if build == self.build else self.facts["caps"][0]
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -176,7 +176,7 @@
             rest[-1].failing = rest[-2].failing = others
             self.assertFalse(story.relay.choice.stands_out(unit))        # nothing is known of the others
             for each in story.relay.units.values():
-                each.waiting = story.relay.now
+                each.met = story.relay.now
             self.assertEqual(story.relay.choice.stands_out(unit), own)
 
     def test_wrong_answers_found_by_clients_count_as_failures(self) -> None:
@@ -259,6 +259,9 @@
         story.relay.known[story.count].shots[0].unit = first
         story.comes(story.count, "unreachable")
         self.assertIs(story.relay.rows[0][-1], first)            # what fails gives its place to the next
+        story.relay.choice.cut_off, known, strange = 0.9, *story.relay.rows[0][:2]
+        known.met, known.out, strange.out = story.relay.now, 1, 0
+        self.assertLess(story.relay.choice.cost(known), story.relay.choice.cost(strange))    # no connection yet
 
     def test_cold_units_get_their_share_over_hundreds_of_relays_with_one_shot_each(self) -> None:
         shots = []
