--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -213,9 +213,9 @@
         return any(self.next.forward(invocation, unit) for unit in row if unit in used or not self.fit(unit))
 
     def cost(self, unit: Unit) -> float:
-        new = self.NEW * self.cut_off * (unit.met < self.relay.now - 10 * SECOND)    # needs a connection
-        cost = (unit.out + new + self.relay.chance.share()) * unit.pace / unit.weight / self.relay.warmth(unit)
-        if self.relay.now - unit.load_at < 2 * SECOND:
+        relay, new = self.relay, self.NEW * self.cut_off * (unit.met < self.relay.now - 10 * SECOND)
+        cost = (unit.out + new + relay.chance.share()) * unit.pace / (unit.weight * relay.warmth(unit))
+        if relay.now - unit.load_at < 2 * SECOND:
             cost *= 1 + 2 * unit.util * unit.util + unit.queue / 4
         return cost
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -260,7 +260,7 @@
         story.comes(story.count, "unreachable")
         self.assertIs(story.relay.rows[0][-1], first)            # what fails gives its place to the next
         story.relay.choice.cut_off, known, strange = 0.9, *story.relay.rows[0][:2]
-        known.met, known.out, strange.out = story.relay.now, 1, 0
+        known.met, known.out, strange.met, strange.out = story.relay.now, 1, 0, 0
         self.assertLess(story.relay.choice.cost(known), story.relay.choice.cost(strange))    # no connection yet
 
     def test_cold_units_get_their_share_over_hundreds_of_relays_with_one_shot_each(self) -> None:
