--- a/tealsail/notes.py
+++ b/tealsail/notes.py
@@ -11,19 +11,21 @@
 def count_notes(build: int, born: int, taken: int, before: int, cells: list[tuple[int, int]]) -> list[bytes]:
     """As many messages as the (cell, count) pairs need, one at the least."""
     parts = [cells[first:first + MOST] for first in range(0, len(cells), MOST)] or [[]]
-    return [struct.pack(f"<HIHH{2 * len(part)}H", build, born & 0xFFFFFFFF, min(65535, taken), min(65535, before),
-                        *(min(65535, figure) for cell in part for figure in cell)) for part in parts]
+    head = build, born & 0xFFFFFFFF, min(65535, taken), min(65535, before)
+    rows = [[min(65535, figure) for cell in part for figure in cell] for part in parts]
+    return [struct.pack(f"<HIHH{len(row)}H", *head, *row) for row in rows]
 
 
 def read(data: bytes) -> tuple[int, ...]:
-    """A verdict's three figures; of counts build, start, taken, before, then cells and counts in turn; or none."""
+    """A verdict's three figures; of counts build, start, taken, before, then cells and counts; or none."""
     if len(data) == 4:
         return struct.unpack("<HBB", data)
-    return struct.unpack(f"<HIHH{len(data) // 2 - 5}H", data) if len(data) >= 10 and len(data) % 4 == 2 else ()
+    counts = len(data) >= 10 and len(data) % 4 == 2
+    return struct.unpack(f"<HIHH{len(data) // 2 - 5}H", data) if counts else ()
 
 
 class Pool:
-    """Cumulative counts of many senders and their sums: of two counts of one start the larger is the newer."""
+    """Cumulative counts of many senders and their sums: of two of one start the larger is the newer."""
 
     def __init__(self, size: int) -> None:
         self.sums = [0] * size
