--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -189,8 +189,8 @@
 class Choice(Stage):
     """Which unit: two random choices in the build among few units, in an order drawn by this relay's number,
     one more whenever those are all busy: with little traffic it opens few connections and knows its units."""
-    REST, LONGEST_REST, FEW, NEW = SECOND // 2, 4 * SECOND, 4, 8
-    few, cut_off = FEW, 0.0                      # units in use; of late, shots that found no connection
+    REST, LONGEST_REST, FEW, NEW = SECOND // 2, 4 * SECOND, 4, 8         # NEW: what a new connection costs,
+    few, cut_off = FEW, 0.0                      # where shots of late found none (dear or few connections)
 
     def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
         used, few, pick = [shot.unit for shot in invocation.shots], int(self.few), self.relay.chance.pick
