The relay on sockets serves: facade, PostgreSQL, discovery, platform and peers on Twisted

The module gains one question, stands, for shots whose connection was slow to come up; settings as nested JSON and as the wire's paths now share one table. No test of the sockets yet.

--- a/tealsail/__init__.py
+++ b/tealsail/__init__.py
@@ -1,1 +1,3 @@
 """tealsail: a front tier that watches over software updates."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/tealsail/net/command.py
@@ -0,0 +1,76 @@
+"""The command line."""
+import os
+import signal
+import sys
+from typing import Any
+
+from docopt import DocoptExit, docopt
+from loguru import logger
+from twisted.internet.error import CannotListenError
+
+from .. import __version__
+from .relay import Relay
+from .start import BadStart, read
+
+USAGE = """tealsail: a front tier that watches over software updates.
+
+Usage:
+  tealsail serve [--log-level=LEVEL]
+  tealsail check
+  tealsail version
+  tealsail (-h | --help)
+
+Commands:
+  serve    Run one relay, as EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONFIG tell it.
+  check    Read the same configuration, print what would be served, and end.
+  version  Print the version.
+
+Options:
+  --log-level=LEVEL  debug, info, warning or error [default: info].
+  -h --help          Show this.
+"""
+
+
+def main(arguments: list[str]) -> int:
+    try:
+        chosen = docopt(USAGE, argv=arguments)
+        if chosen["version"]:
+            print(f"tealsail {__version__}")
+            return 0
+        told = read(os.environ)
+        if chosen["check"]:
+            print(f"{told.name}: listens at {told.listen}; {len(told.known.entries)} units known; "
+                  f"{len(told.facts['workloads'])} workloads; {len(told.peers)} relays")
+            return 0
+        logger.remove()
+        logger.add(sys.stderr, level=chosen["--log-level"].upper(), backtrace=False, diagnose=False,
+                   format="{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {message}")
+        return serve(told)
+    except DocoptExit as problem:
+        print(problem, file=sys.stderr)
+    except (BadStart, CannotListenError, ValueError) as problem:
+        print(f"tealsail: {' '.join(str(problem).split())}", file=sys.stderr)
+    return 2
+
+
+def serve(told: Any) -> int:
+    """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
+    from twisted.internet import reactor
+    relay = Relay(reactor, told)
+    relay.start()
+
+    def ended(_: None) -> None:
+        if reactor.running:
+            reactor.stop()
+
+    def stop(*_: Any) -> None:
+        reactor.callFromThread(lambda: relay.stop().addCallback(ended))
+
+    def show(*_: Any) -> None:
+        reactor.callFromThread(lambda: logger.info("counters {}", relay.counters.show()))
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
+    signal.signal(signal.SIGUSR1, show)
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/tealsail/net/discovery.py
@@ -0,0 +1,292 @@
+"""Discovery: the list of units and its changes, over HTTP/1.1 with a parser of our own."""
+import json
+from typing import Any, Callable, NamedTuple
+
+from loguru import logger
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from .counters import Counters
+
+LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 8 * 1024 * 1024
+WATCH, SLACK, FIRST_WAIT = 20.0, 2.0, 4.0        # seconds: a watch's wait, ours beyond it, and a plain call's
+AGAIN, LONGEST_AGAIN = 0.1, 2.0                  # seconds, after a failed call
+
+
+class Unreadable(Exception):
+    """The stream is lost."""
+
+
+class Reply(NamedTuple):
+    status: int
+    body: bytes
+    last: bool                                   # the connection ends behind it
+
+
+class Entry(NamedTuple):
+    id: str
+    address: str
+    zone: str
+    cell: int
+    state: str
+    weight: float
+    started: float                               # Unix time in milliseconds, 0 for long ago
+    build: int
+
+
+class News(NamedTuple):
+    version: int
+    whole: bool
+    entries: list[Entry]
+
+
+def read_news(tree: Any) -> News:
+    """From JSON; `known` in a relay's configuration has the same form."""
+    try:
+        entries = [Entry(str(each["instanceId"]), address(each.get("hostPort", "")), str(each.get("zone", "")),
+                         int(each.get("cell", 0)), str(each.get("lifecycle", "ready")),
+                         float(each.get("weight", 1)), float(each.get("startedAtMs", 0)), int(each.get("build", 0)))
+                   for each in tree["instances"]]
+        return News(int(tree["generation"]), bool(tree.get("reset", True)), entries)
+    except (KeyError, TypeError, ValueError, AttributeError) as problem:
+        raise Unreadable(f"a list that can't be read: {type(problem).__name__} {problem}") from None
+
+
+def address(text: str) -> str:
+    host, colon, port = text.rpartition(":")
+    if text and not (host and colon and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"address {text!r}")
+    return text
+
+
+class Replies:
+    """Cuts a stream into HTTP replies; fed in any pieces."""
+
+    def __init__(self) -> None:
+        self.held = bytearray()
+        self.status = 0                          # of the reply whose head has come
+        self.length: int | None = None           # of its body or of the chunk at hand; None: up to the end
+        self.chunked = self.trailer = self.last = False
+        self.body = bytearray()
+
+    def feed(self, data: bytes) -> list[Reply]:
+        self.held += data
+        replies: list[Reply] = []
+        while self.step(replies):
+            pass
+        return replies
+
+    def ended(self) -> list[Reply]:
+        """The stream has ended: a body without a length is whole now."""
+        if self.status and self.length is None and not self.chunked:
+            return [self.whole(bytes(self.held))]
+        return []
+
+    def step(self, replies: list[Reply]) -> bool:
+        if not self.status:
+            return self.head()
+        if self.chunked:
+            return self.chunk(replies)
+        if self.length is None or len(self.held) < self.length:
+            if len(self.held) > LONGEST_BODY:
+                raise Unreadable("a body beyond bounds")
+            return False
+        body = bytes(self.held[:self.length])
+        del self.held[:self.length]
+        replies.append(self.whole(body))
+        return True
+
+    def head(self) -> bool:
+        end = self.held.find(b"\r\n\r\n")
+        if end > LONGEST_HEAD or (end < 0 and len(self.held) > LONGEST_HEAD):
+            raise Unreadable("a head beyond bounds")
+        if end < 0:
+            return False
+        first, *lines = bytes(self.held[:end]).split(b"\r\n")
+        del self.held[:end + 4]
+        version, _, rest = first.partition(b" ")
+        status = rest[:3]
+        if version not in (b"HTTP/1.1", b"HTTP/1.0") or not status.isdigit() or len(status) != 3:
+            raise Unreadable(f"no status line: {first[:40]!r}")
+        if status.startswith(b"1"):              # an interim reply has no body and ends nothing
+            return True
+        fields: dict[bytes, bytes] = {}
+        for line in lines:
+            name, colon, value = line.partition(b":")
+            if not colon:
+                raise Unreadable("a header without a colon")
+            fields[name.strip().lower()] = value.strip()
+        self.status = int(status)
+        self.chunked = fields.get(b"transfer-encoding", b"").lower().endswith(b"chunked")
+        length = fields.get(b"content-length")
+        if length is not None and not (length.isdigit() and int(length) <= LONGEST_BODY):
+            raise Unreadable("no such length")
+        self.length = 0 if self.status in (204, 304) else int(length) if length is not None else None
+        how = fields.get(b"connection", b"").lower()
+        self.last = how == b"close" or (version == b"HTTP/1.0" and how != b"keep-alive") or (
+            self.length is None and not self.chunked)
+        if self.chunked:
+            self.length = None
+        return True
+
+    def chunk(self, replies: list[Reply]) -> bool:
+        end = self.held.find(b"\r\n")
+        if self.length is None:                  # a chunk's size, or the trailer's lines behind the last
+            if end < 0 and len(self.held) > LONGEST_HEAD:
+                raise Unreadable("a chunk's line beyond bounds")
+            if end < 0:
+                return False
+            line = bytes(self.held[:end])
+            del self.held[:end + 2]
+            if self.trailer:
+                if not line:
+                    replies.append(self.whole(bytes(self.body)))
+                return True
+            try:
+                self.length = int(line.split(b";")[0].strip(), 16)
+            except ValueError:
+                raise Unreadable("no chunk's size") from None
+            if not 0 <= self.length + len(self.body) <= LONGEST_BODY:
+                raise Unreadable("a body beyond bounds")
+            if not self.length:
+                self.trailer, self.length = True, None
+            return True
+        if len(self.held) < self.length + 2:
+            return False
+        if self.held[self.length:self.length + 2] != b"\r\n":
+            raise Unreadable("a chunk without its end")
+        self.body += self.held[:self.length]
+        del self.held[:self.length + 2]
+        self.length = None
+        return True
+
+    def whole(self, body: bytes) -> Reply:
+        reply = Reply(self.status, body, self.last)
+        self.status, self.length, self.body = 0, None, bytearray()
+        self.chunked = self.trailer = False
+        return reply
+
+
+class Caller(Protocol):
+    """One connection to the agent, one call at a time."""
+
+    def __init__(self, discovery: "Discovery") -> None:
+        self.discovery, self.replies, self.code = discovery, Replies(), ""
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+
+    def call(self, path: str) -> None:
+        self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {self.discovery.address}\r\n"
+                             "Accept: application/json\r\n\r\n".encode())
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.code:
+            return
+        try:
+            for reply in self.replies.feed(data):
+                if reply.last:
+                    self.end("last")
+                self.discovery.came(self, reply)
+        except Unreadable as problem:
+            self.discovery.counters.add("discovery.unreadable")
+            self.end("unreadable", str(problem))
+
+    def end(self, code: str, note: str = "") -> None:
+        if not self.code:
+            self.code = code
+            if note:
+                logger.warning("discovery: {}", note)
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
+        if not self.code:
+            for reply in self.replies.ended():
+                self.discovery.came(self, reply)
+        code = self.code or ("closed" if reason.check(ConnectionDone) else "broken")
+        self.discovery.counters.ended("discovery", code, self.discovery.address)
+        self.discovery.lost(self)
+
+
+class Discovery:
+    """The whole list once, then a watch that is resumed at once after each answer."""
+
+    def __init__(self, reactor: Any, address: str, path: str, counters: Counters,
+                 tell: Callable[[News], None]) -> None:
+        self.reactor, self.address, self.path, self.counters, self.tell = reactor, address, path, counters, tell
+        self.version: int | None = None          # None: the whole list is asked for
+        self.caller: Caller | None = None
+        self.timer: Any = None                   # of the call that is out, or of the next try
+        self.pause = AGAIN
+        self.stopped = False
+
+    def start(self) -> None:
+        self.timer = None
+        if self.stopped:
+            return
+        host, port = self.address.rsplit(":", 1)
+        joined = connectProtocol(TCP4ClientEndpoint(self.reactor, host, int(port), timeout=SLACK), Caller(self))
+        joined.addCallbacks(self.joined, lambda reason: self.again("refused"))
+
+    def joined(self, caller: Caller) -> None:
+        self.caller = caller
+        if not caller.code:
+            self.ask()
+
+    def ask(self) -> None:
+        first = self.version is None
+        path = self.path if first else f"{self.path}?after={self.version}&wait_ms={int(WATCH * 1000)}"
+        self.counters.add("discovery.asked")
+        self.timer = self.reactor.callLater(FIRST_WAIT if first else WATCH + SLACK, self.overdue)
+        self.caller.call(path)
+
+    def overdue(self) -> None:
+        self.timer = None
+        if self.caller:
+            self.caller.end("timeout")
+
+    def came(self, caller: Caller, reply: Reply) -> None:
+        if caller is not self.caller:
+            return
+        self.quiet()
+        try:
+            if reply.status != 200:
+                raise Unreadable(f"status {reply.status}")
+            news = read_news(json.loads(reply.body))
+        except (Unreadable, ValueError) as problem:
+            self.counters.add("discovery.unreadable")
+            self.version = None                  # what was missed can't be told: the whole list next
+            return caller.end("unreadable", str(problem))
+        self.counters.add("discovery.answered")
+        self.pause = AGAIN
+        self.version = news.version
+        if not caller.code:
+            self.ask()                           # before anything else: a watch goes on only for 200 ms
+        self.tell(news)
+
+    def lost(self, caller: Caller) -> None:
+        if caller is self.caller:
+            self.caller = None
+            self.quiet()
+            self.again(caller.code)
+
+    def quiet(self) -> None:
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+    def again(self, code: str) -> None:
+        """Another connection; soon, and later each time that it fails."""
+        if self.stopped:
+            return
+        self.counters.add(f"discovery.again.{code or 'closed'}")
+        self.timer = self.reactor.callLater(self.pause, self.start)
+        self.pause = min(LONGEST_AGAIN, 2 * self.pause)
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.quiet()
+        if self.caller:
+            self.caller.end("closing")
--- /dev/null
+++ b/tealsail/net/platform.py
@@ -0,0 +1,197 @@
+"""The platform: its news of the newest build, and votes, as JSON-RPC 2.0 with one object to a line."""
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from loguru import logger
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from .counters import Counters
+
+LONGEST = 8 * 1024
+CONNECT, SILENT = 1.0, 3.5                       # seconds: to connect, and with no sign of life
+AGAIN, LONGEST_AGAIN = 0.1, 2.0                  # seconds, after a connection has ended
+PHASES = {"canary": "on trial", "reverting": "going back", "stable": "released", "reverted": "withdrawn"}
+VERDICTS = {"none": "blank", "on": "go", "hold": "stay", "back": "stop"}
+ERRORS = {"BUSY": "full", "STALE": "moot", "FAILED": "error", "SYNTAX": "error"}
+
+
+class Unreadable(Exception):
+    """A line that is no object of the protocol."""
+
+
+class State(NamedTuple):
+    """Where the newest build stands; `age` in milliseconds."""
+    build: int
+    stage: int
+    phase: str
+    cap: float
+    age: float
+
+
+class Answer(NamedTuple):
+    """To a call of ours; `state` is None where it failed or tells nothing."""
+    call: int
+    state: State | None
+    error: str
+
+
+class Told(NamedTuple):
+    """A notification; `state` is None for a sign of life or another kind."""
+    state: State | None
+
+
+def read_state(tree: Any) -> State:
+    try:
+        return State(int(tree["Revision"]), int(tree["Wave"]), PHASES[tree["State"]],
+                     float(tree["MaxShare"]), float(tree.get("AgeMs", 0)))
+    except (KeyError, TypeError, ValueError, AttributeError) as problem:
+        raise Unreadable(f"no state: {type(problem).__name__} {problem}") from None
+
+
+def read(line: bytes) -> Answer | Told:
+    try:
+        tree = json.loads(line)
+    except ValueError:
+        raise Unreadable("not JSON") from None
+    if not isinstance(tree, dict):
+        raise Unreadable("not an object")
+    if "method" in tree:
+        return Told(read_state(tree.get("params")) if tree["method"] == "stage" else None)
+    error, result = tree.get("error"), tree.get("result")
+    text = str(error.get("message", "")) if isinstance(error, dict) else str(error or "")
+    if not isinstance(tree.get("id"), int):
+        raise Unreadable("an answer to nothing")
+    return Answer(tree["id"], read_state(result) if isinstance(result, dict) else None, text)
+
+
+def call(number: int, method: str, params: dict[str, Any] | None = None) -> bytes:
+    tree: dict[str, Any] = {"jsonrpc": "2.0", "id": number, "method": method}
+    return json.dumps(tree | ({"params": params} if params else {}), separators=(",", ":")).encode() + b"\n"
+
+
+class Caller(Protocol):
+    """One connection; it subscribes first, and calls go behind each other."""
+
+    def __init__(self, platform: "Platform") -> None:
+        self.platform, self.held, self.code = platform, b"", ""
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.code:
+            return
+        *lines, self.held = (self.held + data).split(b"\n")
+        try:
+            for line in lines:
+                if line.strip():
+                    self.platform.came(read(line))
+            if len(self.held) >= LONGEST:
+                raise Unreadable("a line beyond bounds")
+        except Unreadable as problem:
+            self.platform.counters.add("platform.unreadable")
+            logger.warning("platform: {}", problem)
+            self.end("unreadable")
+
+    def end(self, code: str) -> None:
+        if not self.code:
+            self.code = code
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
+        code = self.code or ("closed" if reason.check(ConnectionDone) else "broken")
+        self.platform.counters.ended("platform", code, self.platform.address)
+        self.platform.lost(self)
+
+
+class Platform:
+    """The subscription, kept up, and one vote at a time over the same connection."""
+
+    def __init__(self, reactor: Any, address: str, vote_wait: float, counters: Counters,
+                 tell: Callable[[State], None], counted: Callable[[str], None]) -> None:
+        self.reactor, self.address, self.vote_wait, self.counters = reactor, address, vote_wait, counters
+        self.tell, self.counted = tell, counted
+        self.caller: Caller | None = None
+        self.calls = 0
+        self.voting: int | None = None           # the call of the vote that is out
+        self.vote_timer: Any = None
+        self.timer: Any = None                   # of the next try, or of silence
+        self.pause = AGAIN
+        self.stopped = False
+
+    def start(self) -> None:
+        self.timer = None
+        if self.stopped:
+            return
+        host, port = self.address.rsplit(":", 1)
+        joined = connectProtocol(TCP4ClientEndpoint(self.reactor, host, int(port), timeout=CONNECT), Caller(self))
+        joined.addCallbacks(self.joined, lambda reason: self.again())
+
+    def joined(self, caller: Caller) -> None:
+        self.caller = caller
+        self.calls += 1
+        self.counters.add("platform.subscribed")
+        caller.transport.write(call(self.calls, "subscribe"))
+        self.timer = self.reactor.callLater(SILENT, self.silent)
+
+    def silent(self) -> None:
+        self.timer = None
+        if self.caller:
+            self.caller.end("silent")
+
+    def came(self, what: Answer | Told) -> None:
+        self.pause = AGAIN
+        if self.timer and self.timer.active():
+            self.timer.reset(SILENT)
+        if isinstance(what, Told):
+            self.counters.add("platform.news" if what.state else "platform.alive")
+        elif what.call == self.voting:
+            self.voted("ok" if what.state else ERRORS.get(what.error, "timeout"))
+        if what.state:
+            self.tell(what.state)
+
+    def vote(self, build: int, stage: int, verdict: str) -> None:
+        self.calls += 1
+        self.counters.add("platform.votes")
+        if not self.caller or self.caller.code:
+            self.voting = self.calls             # nothing was written: it was not carried out
+            self.reactor.callLater(0, self.voted, "error")
+            return
+        self.voting = self.calls
+        self.vote_timer = self.reactor.callLater(self.vote_wait, self.voted, "timeout")
+        self.caller.transport.write(call(self.calls, "release.vote", {
+            "Revision": build, "Wave": stage, "Decision": VERDICTS[verdict]}))
+
+    def voted(self, answer: str) -> None:
+        if self.voting is None:
+            return
+        self.voting = None
+        if self.vote_timer and self.vote_timer.active():
+            self.vote_timer.cancel()
+        self.vote_timer = None
+        self.counters.add(f"platform.vote.{answer}")
+        self.counted(answer)
+
+    def lost(self, caller: Caller) -> None:
+        if caller is self.caller:
+            self.caller = None
+            if self.timer and self.timer.active():
+                self.timer.cancel()
+            self.voted("timeout")                # it may have been carried out
+            self.again()
+
+    def again(self) -> None:
+        if not self.stopped:
+            self.timer = self.reactor.callLater(self.pause, self.start)
+            self.pause = min(LONGEST_AGAIN, 2 * self.pause)
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        if self.caller:
+            self.caller.end("closing")
--- /dev/null
+++ b/tealsail/net/relay.py
@@ -0,0 +1,230 @@
+"""The relay that wires clients, units, discovery, the platform and peers to the facade."""
+from hashlib import blake2b
+from typing import Any
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+
+from .. import settings
+from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot,
+                      Standing, Step, Units as Listing)
+from .clients import Answer, Clients, Forfeited, Rejected
+from .counters import Counters
+from .discovery import Discovery, Entry, News
+from .peers import Peers, pair
+from .platform import Platform, State
+from .start import Assignment
+from .statements import Statement, Unclear, onward
+from .units import Came, Shot, Units
+
+PATH = "/catalog/members"
+SPARE, FEWEST = 64, 64                           # descriptors kept for all but clients and units; at the least
+STATES = {"ready": "open", "draining": "draining", "gone": "gone"}
+LINGER, LAST = 0.5, 0.05                         # seconds after SIGTERM: clients still come; looks at the end
+TENTHS = 10_000                                  # in a second
+
+
+def number_of(name: str) -> int:
+    """A unit's number for its name in the list; the same in every run."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=7).digest(), "big")
+
+
+class Serving:
+    """One invocation on its way: a shot as the facade says, its outcome back, until there is an answer."""
+
+    def __init__(self, relay: "Relay", statement: Statement, at: int) -> None:
+        self.relay, self.statement = relay, statement
+        self.answer: Deferred[Answer] = Deferred(self.left)
+        self.over = False
+        self.shots: dict[int, Shot] = {}         # those that are out
+        self.number, step = relay.facade.pick(
+            statement.workload, statement.customer, statement.key, at + settings.tenths(statement.wait),
+            repeat=statement.repeat)
+        relay.serving[self.number] = self
+        self.follow(step)
+
+    def follow(self, step: Step) -> None:
+        match step:
+            case Shoot(unit, place, wait):
+                self.shoot(unit, place, wait)
+            case Reject(come_back):
+                self.end(Rejected(come_back))
+            case Forfeit():
+                self.end(Forfeited())
+        self.forget()
+
+    def shoot(self, unit: int, place: int, wait: int) -> None:
+        relay, until = self.relay, self.relay.clock() + wait
+        relay.counters.add("units.shots")
+        shot = relay.units.shoot(
+            unit, lambda: onward(self.statement, max(1, -(-(until - relay.clock()) // 10))),
+            wait / TENTHS, lambda: relay.facade.stands(self.number, place))
+        if shot is None:
+            self.came(Came("moot"), place)
+            return
+        self.shots[place] = shot
+        shot.done.addCallback(self.came, place)
+        shot.done.addErrback(relay.fault)
+
+    def came(self, came: Came, place: int) -> None:
+        self.shots.pop(place, None)
+        self.relay.counters.add(f"units.{came.outcome}")
+        step = self.relay.facade.report(Outcome(self.number, place, came.outcome, came.load))
+        if came.outcome == "served" and came.value:
+            self.end(came.value)
+        self.follow(step)
+        self.relay.schedule()
+
+    def end(self, answer: Answer) -> None:
+        if not self.over:
+            self.over = True
+            self.answer.callback(answer)
+
+    def call_off(self, place: int) -> None:
+        if place in self.shots:
+            self.shots[place].stop("cancelled")
+
+    def left(self, answer: Deferred) -> None:
+        """The client has gone."""
+        self.over = True
+        self.relay.facade.report(Departed(self.number))
+        self.relay.ticked()
+        self.forget()
+
+    def forget(self) -> None:
+        if self.over and not self.shots:
+            self.relay.serving.pop(self.number, None)
+
+
+class Relay:
+    """One relay, from `start` to `stop`; embedders hand in their own reactor."""
+
+    def __init__(self, reactor: Any, told: Assignment, counters: Counters | None = None) -> None:
+        self.reactor, self.told, self.counters = reactor, told, counters or Counters()
+        self.last = 0
+        facts = told.facts
+        self.facade = Facade(facts, told.seed, self.clock)
+        room = max(FEWEST, told.sockets - SPARE) // 2
+        self.units = Units(reactor, self.counters, facts.get("connect_wait", TENTHS) / TENTHS,
+                           facts.get("idle_time", 30 * TENTHS) / TENTHS, room)
+        self.clients = Clients(self.take, self.clock, self.counters, room)
+        self.discovery = Discovery(reactor, told.discovery, PATH, self.counters, self.listed)
+        self.platform = Platform(reactor, told.platform, facts.get("vote_wait", TENTHS) / TENTHS,
+                                 self.counters, self.stood, self.counted)
+        self.peers = Peers(told.peers, told.everyone, self.counters, self.heard)
+        self.zones = {name: place for place, name in enumerate(facts.get("zones", []))}
+        self.serving: dict[int, Serving] = {}
+        self.ports: list[Any] = []
+        self.timer: Any = None
+        self.stopped: Deferred[None] | None = None
+
+    def clock(self) -> int:
+        """Unix time in tenths of a millisecond; it never goes back."""
+        self.last = max(self.last, int(self.reactor.seconds() * TENTHS))
+        return self.last
+
+    def start(self) -> None:
+        """Serve from what is known already; raises CannotListenError."""
+        if self.told.state:
+            self.stood(self.told.state)
+        self.listed(self.told.known, "old copy")
+        if self.told.peer_listen:
+            host, port = pair(self.told.peer_listen)
+            self.ports.append(self.reactor.listenUDP(port, self.peers, host, maxPacketSize=2048))
+        self.discovery.start()
+        if self.told.platform:
+            self.platform.start()
+        host, port = pair(self.told.listen)
+        self.ports.append(self.reactor.listenTCP(port, self.clients, 512, host))
+        logger.info("serving name={} listen={} units={}", self.told.name, self.told.listen,
+                    len(self.told.known.entries))
+        self.schedule()
+
+    def take(self, statement: Statement, at: int) -> Deferred[Answer]:
+        if statement.workload not in self.facade.workloads:
+            raise Unclear("no such workload")
+        answer = Serving(self, statement, at).answer
+        self.schedule()
+        return answer
+
+    def listed(self, news: News, kind: str = "") -> None:
+        kind = kind or ("whole" if news.whole else "changes")
+        self.counters.add(f"discovery.list.{kind.replace(' ', '_')}")
+        entries = [entry for entry in news.entries if entry.address or entry.state != "ready"]
+        for entry in entries:
+            if entry.state == "ready":
+                self.units.listed(number_of(entry.id), entry.address, entry.build, settings.tenths(entry.started))
+            else:
+                self.units.unlisted(number_of(entry.id))
+        if kind != "changes":
+            here = {number_of(entry.id) for entry in entries}
+            for number in self.units.numbers():
+                if number not in here:
+                    self.units.unlisted(number)
+        self.facade.report(Listing(kind, [self.entry(entry) for entry in entries]))
+        self.schedule()
+
+    def entry(self, entry: Entry) -> Listed:
+        return Listed(number_of(entry.id), entry.build, STATES.get(entry.state, "draining"),
+                      self.zones.get(entry.zone, 0), entry.cell, entry.weight, settings.tenths(entry.started))
+
+    def stood(self, state: State) -> None:
+        self.facade.report(Standing(state.build, state.stage, state.phase, state.cap, settings.tenths(state.age)))
+        self.schedule()
+
+    def counted(self, answer: str) -> None:
+        self.facade.report(Counted(answer))
+        self.schedule()
+
+    def heard(self, number: int, data: bytes) -> None:
+        self.facade.report(Heard(number, data))
+        self.schedule()
+
+    def schedule(self) -> None:
+        """The next tick, when the facade is due."""
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        wait = max(0, self.facade.due - self.clock()) / TENTHS
+        self.timer = self.reactor.callLater(min(wait, 1.0), self.ticked)
+
+    def ticked(self) -> None:
+        wants = self.facade.tick()
+        for line in wants.lines:
+            logger.info("module: {}", line)
+        for number, data in wants.notes:
+            self.peers.tell(number, data)
+        for vote in wants.votes:
+            logger.info("vote build={} stage={} verdict={}", *vote)
+            self.platform.vote(*vote)
+        for number, place in wants.calls_off:
+            if number in self.serving:
+                self.serving[number].call_off(place)
+        self.schedule()
+
+    def fault(self, reason: Any) -> None:
+        """Network code went wrong with one invocation; the process goes on."""
+        self.counters.add("faults")
+        logger.error("fault: {}", reason.getTraceback())
+
+    def stop(self) -> Deferred[None]:
+        """Clients still come for a moment; then no new ones, and the end once all that was taken is answered."""
+        if not self.stopped:
+            logger.info("stopping: {} invocations at hand", len(self.serving))
+            self.stopped = Deferred()
+            self.reactor.callLater(LINGER, self.leave)
+        return self.stopped
+
+    def leave(self) -> None:
+        for port in self.ports:
+            port.stopListening()
+        self.clients.close()
+        self.finish()
+
+    def finish(self) -> None:
+        if self.clients.connections:
+            self.reactor.callLater(LAST, self.finish)
+            return
+        self.discovery.stop()
+        self.platform.stop()
+        logger.info("counters {}", self.counters.show())
+        self.stopped.callback(None)
--- /dev/null
+++ b/tealsail/net/units.py
@@ -0,0 +1,328 @@
+"""Units: their connections, kept and used again one shot at a time, and what comes back over them."""
+from typing import Any, Callable, NamedTuple
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from . import messages
+from .counters import Counters
+from .messages import Value
+
+USER, DATABASE, LOAD = b"backend", b"store", b"stats"
+
+
+class Came(NamedTuple):
+    """How a shot ended (the words are the facade's), the unit's answer and its load report."""
+    outcome: str
+    value: Value | None = None
+    load: dict[str, float] | None = None
+
+
+def load_report(text: bytes) -> dict[str, float] | None:
+    try:
+        pairs = (pair.split("=") for pair in text.decode().split(","))
+        return {name: float(figure) for name, figure in pairs}
+    except ValueError:
+        return None
+
+
+class Connection(Protocol):
+    """One connection to a unit: set up, idle, or with one shot out."""
+
+    def __init__(self, pool: "Pool") -> None:
+        self.pool, self.counters = pool, pool.counters
+        self.splitter = messages.Splitter(typed=True)
+        self.ready: Deferred["Connection"] = Deferred()          # set up; fails with the reason as its text
+        self.shot: Shot | None = None
+        self.settled = self.told = self.written = False
+        self.refused = ""                        # an error while it is being set up
+        self.described: messages.Described | None = None
+        self.row: messages.Row | None = None
+        self.unsent = b""
+        self.idle_since = 0.0
+        self.code = ""
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.counters.add("units.connections")
+        self.transport.write(messages.startup(USER, DATABASE))
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.code:
+            return
+        self.splitter.feed(data)
+        try:
+            for kind, body in self.splitter:
+                self.came(messages.from_unit(kind, body))
+                if self.code:
+                    return
+        except messages.Unreadable as problem:
+            self.counters.add("units.unreadable")
+            logger.warning("unreadable from unit {}: {}", self.pool.address, problem)
+            self.end("unreadable")
+
+    def came(self, what: Any) -> None:
+        match what:
+            case messages.Status(name, value) if name == LOAD:
+                self.pool.load = load_report(value) or self.pool.load
+                self.told = True
+            case messages.Ready() if not self.settled:
+                self.settled = True
+                self.ready.callback(self)
+            case messages.Ready():
+                if self.shot:                    # the end of an answer with no whole row
+                    self.finish("error")
+                self.pool.free(self)
+            case messages.Trouble(code, _) if not self.settled:
+                self.refused = "full" if code == b"53300" else "unreachable"
+            case messages.Trouble(code, _):
+                self.finish("full" if code == b"53300" else "error")
+            case messages.Described():
+                self.described, self.row = what, None
+            case messages.Row():
+                if self.row:
+                    raise messages.Unreadable("a second row")
+                self.row = what
+            case messages.Complete() if self.shot:
+                if self.described and self.row and self.row.columns == self.described.columns == 1:
+                    self.finish("served", Value(self.described, self.row, what))
+                else:
+                    self.finish("error")
+            case messages.Authentication(kind) if kind:
+                raise messages.Unreadable("a password is asked for")
+
+    def ask(self, shot: "Shot", query: bytes) -> None:
+        self.shot, self.written, self.unsent, self.told = shot, False, query, False
+        self.described = self.row = None
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Called when the transport wants something to write: at once, and again when all is written."""
+        if self.unsent:
+            unsent, self.unsent = self.unsent, b""
+            self.transport.write(unsent)
+        else:
+            self.written = True
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        """The connection has ended; `written` keeps what was known."""
+
+    def finish(self, outcome: str, value: Value | None = None) -> None:
+        shot, self.shot = self.shot, None
+        if shot:
+            shot.end(Came(outcome, value, self.pool.load if self.told else None))
+
+    def end(self, code: str) -> None:
+        """Close it at once; nothing more of it is read."""
+        if not self.code:
+            self.code = code
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
+        code = self.code or ("closed" if reason.check(ConnectionDone) else "broken")
+        self.pool.leave(self)
+        if not self.settled:
+            self.settled = True
+            self.ready.errback(ConnectionError(self.refused or "unreachable"))
+        # whether a shot may have run is decided by whether its last byte was written
+        self.finish("reset" if self.written else "unreachable")
+        self.counters.ended("unit", code, self.pool.address)
+
+
+class Shot:
+    """One attempt: `done` gets its one `Came`.  `stands` is asked before it is written after a wait."""
+
+    def __init__(self, pool: "Pool", text: Callable[[], bytes], wait: float, stands: Callable[[], bool]) -> None:
+        self.pool, self.text, self.stands = pool, text, stands
+        self.done: Deferred[Came] = Deferred()
+        self.connection: Connection | None = None
+        self.opening: Deferred | None = None
+        self.over = False
+        self.timer = pool.reactor.callLater(wait, self.stop, "timeout")
+
+    def begin(self) -> None:
+        self.connection = self.pool.idle_one()
+        if self.connection:
+            return self.write(self.connection)
+        self.opening = self.pool.open()
+        self.opening.addCallbacks(self.opened, self.failed)
+
+    def opened(self, connection: Connection) -> None:
+        self.opening = None
+        if self.over:
+            self.pool.free(connection)
+        elif not self.stands():
+            self.pool.free(connection)
+            self.end(Came("moot"))
+        else:
+            self.connection = connection
+            self.write(connection)
+
+    def failed(self, reason: Failure) -> None:
+        self.opening = None
+        text = reason.getErrorMessage()
+        self.end(Came(text if text in ("full", "unreachable") else "unreachable"))
+
+    def write(self, connection: Connection) -> None:
+        connection.ask(self, messages.query(self.text()))
+
+    def stop(self, outcome: str) -> None:
+        """Stop waiting.  The connection is closed first, so that nothing is out when the next shot begins."""
+        if self.over:
+            return
+        written = self.connection is not None and self.connection.written
+        if self.connection:
+            self.connection.shot = None
+            self.connection.end(outcome)
+        self.end(Came(outcome if written else "moot"))
+
+    def end(self, came: Came) -> None:
+        if not self.over:
+            self.over = True
+            if self.timer.active():
+                self.timer.cancel()
+            self.done.callback(came)
+
+
+class Pool:
+    """The connections to one unit at one address."""
+
+    def __init__(self, units: "Units", address: str) -> None:
+        self.units, self.reactor, self.counters, self.address = units, units.reactor, units.counters, address
+        self.load: dict[str, float] | None = None
+        self.idle: list[Connection] = []         # the one used last is used first
+        self.all: dict[Connection, None] = {}
+        self.opening = 0
+        self.closed = False
+
+    def idle_one(self) -> Connection | None:
+        return self.idle.pop() if self.idle else None
+
+    def open(self) -> Deferred[Connection]:
+        """A new connection, set up within the time for that; it fails as `unreachable` or `full`."""
+        if not self.units.room():
+            self.counters.add("units.no_room")
+            return failed("unreachable")
+        connection = Connection(self)
+        self.all[connection] = None
+        host, port = self.address.rsplit(":", 1)
+        endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=self.units.connect_wait)
+        joined = connectProtocol(endpoint, connection)
+        timer = self.reactor.callLater(self.units.connect_wait, self.overdue, connection, joined)
+
+        def refused(reason: Failure) -> None:
+            self.counters.add("units.refused")
+            self.leave(connection)
+            if not connection.settled:
+                connection.settled = True
+                connection.ready.errback(ConnectionError("unreachable"))
+
+        def settled(result: Any) -> Any:
+            if timer.active():
+                timer.cancel()
+            return result
+
+        joined.addErrback(refused)
+        return connection.ready.addBoth(settled)
+
+    def overdue(self, connection: Connection, joined: Deferred) -> None:
+        if connection.transport:
+            connection.end("slow_setup")
+        else:
+            joined.cancel()
+
+    def free(self, connection: Connection) -> None:
+        if connection.code or connection in self.idle:
+            return
+        if self.closed:
+            return connection.end("unlisted")
+        connection.idle_since = self.reactor.seconds()
+        self.idle.append(connection)
+
+    def leave(self, connection: Connection) -> None:
+        self.all.pop(connection, None)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def trim(self, before: float) -> None:
+        """Close what has stood idle since then."""
+        while self.idle and self.idle[0].idle_since <= before:
+            self.idle.pop(0).end("idle")
+
+    def close(self) -> None:
+        """No more shots: idle connections end now, the others when their shot has."""
+        self.closed = True
+        while self.idle:
+            self.idle.pop().end("unlisted")
+
+
+def failed(text: str) -> Deferred:
+    deferred: Deferred = Deferred()
+    deferred.errback(ConnectionError(text))
+    return deferred
+
+
+class Units:
+    """All units that are listed: number -> pool."""
+    TRIM = 1.0
+
+    def __init__(self, reactor: Any, counters: Counters, connect_wait: float, idle_time: float, most: int) -> None:
+        self.reactor, self.counters = reactor, counters
+        self.connect_wait, self.idle_time, self.most = connect_wait, idle_time, most
+        self.pools: dict[int, Pool] = {}
+        self.marks: dict[int, tuple] = {}        # what a listed unit is: address, build and start
+        self.old: dict[Pool, None] = {}          # of units that have left, with shots still out
+        self.trimming()
+
+    def listed(self, number: int, address: str, build: int, started: int) -> None:
+        """It takes shots from now on; at another address, with another build or start it is another one."""
+        mark = (address, build, started)
+        if self.marks.get(number) != mark:
+            self.unlisted(number)
+            self.marks[number], self.pools[number] = mark, Pool(self, address)
+
+    def unlisted(self, number: int) -> None:
+        self.marks.pop(number, None)
+        pool = self.pools.pop(number, None)
+        if pool:
+            pool.close()
+            self.old[pool] = None
+
+    def numbers(self) -> list[int]:
+        return list(self.pools)
+
+    def shoot(self, number: int, text: Callable[[], bytes], wait: float, stands: Callable[[], bool]) -> Shot | None:
+        """None: that unit is not listed (any more)."""
+        pool = self.pools.get(number)
+        if pool is None:
+            return None
+        shot = Shot(pool, text, wait, stands)
+        shot.begin()
+        return shot
+
+    def held(self) -> int:
+        return sum(len(pool.all) for pool in (*self.pools.values(), *self.old))
+
+    def room(self) -> bool:
+        """Whether one more connection may be opened; the longest idle one makes room for it."""
+        if self.held() < self.most:
+            return True
+        longest = min((pool.idle[0] for pool in self.pools.values() if pool.idle),
+                      key=lambda connection: connection.idle_since, default=None)
+        if longest:
+            longest.pool.idle.remove(longest)
+            longest.end("no_room")
+        return longest is not None
+
+    def trimming(self) -> None:
+        """Idle connections end well before the unit's machine would end them."""
+        now = self.reactor.seconds()
+        for pool in self.pools.values():
+            pool.trim(now - max(0.5 * self.idle_time, self.idle_time - 2 * self.TRIM))
+        self.old = {pool: None for pool in self.old if pool.all}
+        self.timer = self.reactor.callLater(self.TRIM, self.trimming)
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -125,3 +125,8 @@
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         self.before.backward(shot, outcome, latency)
+
+
+def link(*chain: Stage) -> None:
+    for before, after in zip(chain, chain[1:]):
+        before.next, after.before = after, before
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -1,7 +1,6 @@
-"""Every decision of tealsail.  A host (calls: tealsail/host.py) builds one `Relay(host, facts, seed, now)`
-for each instance, sets `relay.now` before each event and calls its `on_...` methods.  `facts` is a plain map
-of settings (names: tealsail/adapter/words.py); times are whole tenths of a millisecond.  The design is told
-in docs/design.md.  In order: what is tuned, the chain that an invocation passes, the judge, the relay."""
+"""Every decision of tealsail.  A host (calls: tealsail/host.py) builds one `Relay(host, facts, seed, now)`,
+sets `relay.now` before each event and calls its `on_...` methods.  `facts` is a plain map of settings (names:
+tealsail/settings.py); times are tenths of a ms.  In order: what is tuned, the chain, the judge, the relay."""
 from collections import defaultdict
 from itertools import islice
 from math import erfc, sqrt
@@ -10,7 +9,7 @@
 
 from .host import Host
 from .notes import Pool, count_notes, read, verdict_note
-from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, Workload, median, mix, rank_test
+from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, Workload, link, median, mix, rank_test
 
 SECOND = 10_000
 ABSENT: dict[str, Any] = dict(
@@ -522,9 +521,7 @@
         self.intake, self.trial = Intake(self), Trial(self)
         self.judge = Judge(self)
         self.on_told, self.on_vote_answer = self.judge.hear, self.judge.answered
-        chain = [self.intake, self.admission, self.trial, self.choice, self.gate]
-        for before, after in zip(chain, chain[1:]):
-            before.next, after.before = after, before
+        link(self.intake, self.admission, self.trial, self.choice, self.gate)
         host.wake(now + int((1 + self.chance.share()) * SECOND / 4), self.WAKE_BEAT)
         if self.facts["list_mode"] == "on_request":
             host.watch_list()
@@ -590,6 +587,11 @@
         if number in self.known:
             self.known[number].over = True       # an answer's stream has begun: nothing more may be sent
 
+    def stands(self, number: int, place: int) -> bool:
+        """Whether a shot may go out once its connection is up: guards against a list or cap changed since."""
+        unit = self.known[number].shots[place].unit
+        return self.gate.listed(unit) and (not self.on_trial(unit.build) or self.cap(unit.build) > 0)
+
     def on_abandoned(self, number: int) -> None:
         invocation = self.known.get(number)
         if invocation and not invocation.over:
@@ -605,8 +607,7 @@
             self.admission.stuck = sum(unit.out for unit in self.units.values() if not self.choice.fit(unit))
             for unit in self.units.values():     # what is not tried again is slowly forgiven
                 unit.pace, unit.failing = unit.pace + 0.03 * (1 - unit.pace), 0.97 * unit.failing
-            if not self.rows[1]:
-                self.trial.lately = [0.92 * count for count in self.trial.lately]
+            self.trial.lately = [count * (1 if self.rows[1] else 0.92) for count in self.trial.lately]
             self.choice.few = max(self.choice.FEW, 0.99 * self.choice.few)
             self.judge.consider()
             (self.trial.weigh if self.judge.beat % 40 else self.arrange)()   # who went to the end is forgiven
--- /dev/null
+++ b/tealsail/settings.py
@@ -0,0 +1,108 @@
+"""The operators' settings under the module's names: one table for both forms they come in, the bench wire's
+path=value pairs and a real relay's nested JSON.  Names and units are translated; nothing is decided here."""
+from math import ceil, floor
+from typing import Any, Iterator
+
+EFFECTS = {"read_like": "harmless", "idempotency_key": "stamped", "non_idempotent": "one-shot"}
+
+# path (without the places of list items) -> the module's name
+NAMES = {
+    "fleetSize": "relays", "index": "index", "zone": "zone", "discovery": "list_mode",
+    "requestClasses": "workloads", "tenants": "customers", "overShareWorth": "over_share_payoff",
+    "aim": "promised", "aimStretch": "promised_stretch", "deadline": "abandon", "effect": "effect",
+    "group": "group", "memorySpan": "memory", "gain": "payoff", "lateValue": "late_payoff", "name": "name",
+    "streaming": "streaming", "quotaPerS": "quota", "share": "share", "dcs": "zones",
+    "clients.marksRetry": "marks_repeats", "worthBy": "payoff_by", "weights": "weights",
+    "domain.control": "control", "domain.layout": "layout", "domain.toAdvance": "on_votes",
+    "domain.holdVotes": "hold_votes", "domain.noesNeeded": "back_votes", "domain.minDwell": "bake",
+    "domain.stageTime": "step", "domain.ballotTtl": "vote_life", "domain.apiTimeout": "vote_wait",
+    "domain.callsPerS": "votes_per_second", "domain.behindPrice": "delay_price",
+    "domain.blastPrice": "harm_price", "domain.foundShare": "flag_share", "domain.free": "free_shots",
+    "domain.per": "exposure_per", "domain.span": "exposure_span", "domain.guardedStages": "guarded_stages",
+    "domain.oneWay": "one_way", "domain.mostShares": "caps", "domain.waves": "stage_shares",
+    "domain.warmKeys": "warm_keys", "domain.tallyEvery": "tally_every", "domain.sample": "tally_sample",
+    "domain.repeatEvery": "news_every",
+    "limits.cancel": "may_cancel", "limits.maxAttempts": "most_shots", "limits.parallelTries": "two_shots",
+    "limits.retryAfter": "may_advise", "limits.maxRetryAfter": "longest_advice",
+    "limits.mayTell": "may_tell", "limits.probes": "may_probe", "limits.openCap": "most_open",
+    "limits.dialTimeout": "connect_wait", "limits.connIdle": "idle_time",
+    "rules.answerSlack": "answer_slack", "rules.askWithin": "ask_within", "rules.coldFrom": "cold_from",
+    "rules.drainGrace": "drain_grace", "rules.fallMultiple": "fall_multiple",
+    "rules.overloadFor": "fall_span", "rules.warmUp": "warm_up",
+    "charges.crossZone": "zone_price", "charges.waste": "waste_price", "charges.lateFail": "late_price",
+    "charges.peer": "tell_price", "feedback.fields": "load_fields", "feedback.via": "load_via",
+    "tick": "tick",
+}
+# settings that are times: how to round them so that no limit is overstepped
+TIMES = {name: floor for name in ("promised", "abandon", "memory", "bake", "step", "vote_life", "vote_wait",
+                                  "tally_every", "longest_advice", "answer_slack", "ask_within",
+                                  "drain_grace", "news_every", "connect_wait", "idle_time")}
+TIMES.update({name: ceil for name in ("exposure_span", "fall_span", "warm_up", "tick")})
+LIST_VALUES = {"caps", "stage_shares", "load_fields", "zones"}
+
+
+def tenths(milliseconds: float) -> int:
+    """A time in whole tenths of a millisecond, never later than it was."""
+    return floor(milliseconds * 10 + 1e-6)
+
+
+def plain(text: str) -> Any:
+    if text in ("true", "false"):
+        return text == "true"
+    try:
+        return int(text)
+    except ValueError:
+        try:
+            return float(text)
+        except ValueError:
+            return text
+
+
+def named(name: str, value: Any) -> Any:
+    """One setting's value under the module's name for it."""
+    if name in LIST_VALUES:
+        if isinstance(value, str):
+            return [plain(part) for part in value.split(",")] if value else []
+        return value if isinstance(value, list) else [value]
+    if isinstance(value, str):
+        return EFFECTS.get(value, value)
+    if name in TIMES and not isinstance(value, bool):
+        # two steps, so that 0.1 ms figures survive binary fractions
+        return TIMES[name](round(value * 10, 3))
+    return value
+
+
+def flat(pairs: dict[str, str]) -> Iterator[tuple[list[str], Any]]:
+    """The wire's form: a list of objects has its places in the path, and its length under `count`."""
+    for path, text in pairs.items():
+        name = NAMES.get(path)
+        yield path.split("."), text if name in LIST_VALUES else plain(text)
+
+
+def nested(tree: dict[str, Any], path: tuple[str, ...] = ()) -> Iterator[tuple[list[str], Any]]:
+    """A real relay's form: objects in objects, and lists of objects."""
+    for name, value in tree.items():
+        if isinstance(value, dict):
+            yield from nested(value, (*path, name))
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            for place, item in enumerate(value):
+                yield from nested(item, (*path, name, str(place)))
+        else:
+            yield [*path, name], value
+
+
+def facts(leaves: Iterator[tuple[list[str], Any]]) -> dict[str, Any]:
+    """A plain map of the module's names; what has no name is skipped."""
+    known: dict[str, Any] = {}
+    for parts, value in leaves:
+        path = ".".join(parts)
+        if len(parts) == 3 and parts[1].isdigit():
+            listed, name = NAMES.get(parts[0]), NAMES.get(parts[2])
+            if listed and name:
+                items = known.setdefault(listed, [])
+                while len(items) <= int(parts[1]):
+                    items.append({})
+                items[int(parts[1])][name] = named(name, value)
+        elif path in NAMES:
+            known[NAMES[path]] = named(NAMES[path], value)
+    return known
