Clients' answers in their turn, clogged clients wait, a stopped shot told when it has ended

Seen by reading, not yet by a broken rule: abortConnection of the network library closes a socket one turn later, so the shot that followed a call-off could be written while the first was still open (units.py, Shot.stop); now the outcome is told once the connection has ended. Load reports that come between an answer's CommandComplete and ReadyForQuery were missed.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -39,86 +39,106 @@
             return messages.whole(answer)
 
 
+class Asked(NamedTuple):
+    """A query, and when it came."""
+    text: bytes
+    at: int
+
+
+class Ending(NamedTuple):
+    """The connection's end, in its turn behind the answers still due."""
+    code: str
+    last: bytes = b""
+    note: str = ""
+
+
 class Client(Protocol):
-    """One connection.  Its queries are answered one after the other; `waiting` is the one at hand."""
+    """One connection.  What comes is answered one after the other; `waiting` is the invocation at hand."""
 
     def __init__(self, clients: "Clients") -> None:
         self.clients, self.counters = clients, clients.counters
         self.splitter = messages.Splitter(typed=False)
-        self.queue: deque[tuple[bytes, int]] = deque()           # texts, and when each came
+        self.queue: deque[Asked | bytes | Ending] = deque()      # bytes: an answer that is known already
         self.waiting: Deferred[Answer] | None = None
-        self.skipping = self.working = False     # after an extended message, up to the Sync
+        self.welcome = True                      # False: there is no room for it
+        self.skipping = self.working = self.clogged = self.deaf = False
+        self.idle_since = clients.clock()
         self.code, self.note = "", ""
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)              # to be told when answers pile up unread
         self.counters.add("clients.connections")
-        if not self.clients.enter(self):
-            self.end("full", messages.trouble(FULL, "too many connections", fatal=True))
+        self.welcome = self.clients.enter(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if self.code:
+        if self.code or self.deaf:
             return
         self.counters.add("clients.bytes_in", len(data))
         self.splitter.feed(data)
         try:
-            self.split()
-        except messages.Unreadable as problem:
+            for kind, body in self.splitter:
+                if self.splitter.typed:
+                    self.came(messages.from_client(kind, body))
+                else:
+                    self.opened(messages.opening(body))
+                if self.code or self.deaf:
+                    break
+        except messages.Unreadable as problem:   # what came before it still gets its answers
             self.counters.add("clients.unreadable")
-            self.end("unreadable", messages.trouble(LOST, str(problem), fatal=True), str(problem))
-
-    def split(self) -> None:
-        for kind, body in self.splitter:
-            if not self.splitter.typed:
-                self.opened(messages.opening(body))
-            else:
-                self.came(messages.from_client(kind, body))
-            if self.code:
-                return
+            self.hold(Ending("unreadable", messages.trouble(LOST, str(problem), fatal=True), str(problem)))
+        self.next()
 
     def opened(self, first: messages.Startup | messages.Encryption | messages.Cancel) -> None:
         match first:
             case messages.Encryption():
-                self.write(messages.DECLINED)
+                self.hold(messages.DECLINED)
             case messages.Cancel():
-                self.end("cancel")               # what is asked there can't be told apart: nothing to stop
+                self.hold(Ending("cancel"))      # what is asked there can't be told apart: nothing to stop
+            case messages.Startup() if not self.welcome:
+                self.hold(Ending("full", messages.trouble(FULL, "too many connections", fatal=True)))
             case messages.Startup():
                 self.splitter.typed = True
-                self.write(messages.WELCOME)
+                self.hold(messages.WELCOME)
 
     def came(self, what: messages.Query | messages.Extended | messages.Copied | messages.Terminate) -> None:
+        """After an extended message nothing counts up to the Sync, as the protocol has it."""
         match what:
             case messages.Terminate():
-                self.end("goodbye")
-            case messages.Query(text) if not self.skipping:
-                self.queue.append((text, self.clients.clock()))
-                self.next()
-                if len(self.queue) >= MOST_QUERIES:
-                    self.transport.pauseProducing()
+                self.hold(Ending("goodbye"))
             case messages.Extended(sync=True):
-                self.queue.append((b"", -1) if self.skipping else (b"", -2))
                 self.skipping = False
-                self.next()
+                self.hold(messages.READY)
             case messages.Extended() if not self.skipping:
                 self.skipping = True
                 self.counters.add("clients.foreign")
+                self.hold(messages.trouble(FOREIGN, "simple queries only"))
+            case messages.Query(text) if not self.skipping:
+                self.hold(Asked(text, self.clients.clock()))
+
+    def hold(self, what: Asked | bytes | Ending) -> None:
+        self.queue.append(what)
+        self.deaf |= isinstance(what, Ending)
+        if len(self.queue) == MOST_QUERIES:
+            self.transport.pauseProducing()
 
     def next(self) -> None:
-        """The queries that wait, as long as each is answered at once."""
+        """The queue's first, and on, as long as each is answered at once and the answers are read."""
         if self.working:
             return
         self.working = True
-        while self.queue and not self.waiting and not self.code:
-            text, at = self.queue.popleft()
-            if at < 0:                           # a Sync: what came before it is answered once
-                foreign = messages.trouble(FOREIGN, "simple queries only") if at == -1 else b""
-                self.write(foreign + messages.READY)
-            else:
-                self.answer(text, at)
+        while self.queue and not self.waiting and not self.code and not self.clogged:
             if len(self.queue) == MOST_QUERIES // 2:
                 self.transport.resumeProducing()
+            match self.queue.popleft():
+                case Asked(text, at):
+                    self.answer(text, at)
+                case Ending(code, last, note):
+                    self.end(code, last, note)
+                case known:
+                    self.write(known)
         self.working = False
-        if not self.queue and not self.waiting and not self.code and self.clients.closing:
+        if self.idle() and self.clients.closing:
             self.end("closing")
 
     def answer(self, text: bytes, at: int) -> None:
@@ -128,8 +148,7 @@
         if statements.IDLE.fullmatch(text):
             return self.write(messages.SET_DONE)
         try:
-            statement = statements.read(text)
-            self.waiting = self.clients.take(statement, at)
+            self.waiting = self.clients.take(statements.read(text), at)
         except statements.Unclear as problem:
             self.counters.add("clients.unclear")
             return self.write(messages.trouble(FORM, str(problem)) + messages.READY)
@@ -137,7 +156,7 @@
         self.waiting.addCallbacks(self.answered, lambda reason: None)     # cancelled: nobody to answer
 
     def answered(self, answer: Answer) -> None:
-        self.waiting = None
+        self.waiting, self.idle_since = None, self.clients.clock()
         self.counters.add(f"clients.{type(answer).__name__.lower()}")
         self.write(encoded(answer))
         self.next()
@@ -145,8 +164,19 @@
     def write(self, data: bytes) -> None:
         self.transport.write(data)
 
+    def pauseProducing(self) -> None:
+        """Answers pile up unread: no more of them until the client reads."""
+        self.clogged = True
+
+    def resumeProducing(self) -> None:
+        self.clogged = False
+        self.next()
+
+    def stopProducing(self) -> None:
+        """The connection has ended."""
+
     def idle(self) -> bool:
-        return not self.waiting and not self.queue
+        return not self.waiting and not self.queue and not self.code
 
     def end(self, code: str, last: bytes = b"", note: str = "") -> None:
         if not self.code:
@@ -160,10 +190,16 @@
         self.queue.clear()
         waiting, self.waiting = self.waiting, None
         code = self.code or ("left" if waiting else "closed" if reason.check(ConnectionDone) else "broken")
+        self.code = code
         if waiting:
             self.counters.add("clients.left")
             waiting.cancel()
-        self.counters.ended("client", code, str(self.transport.getPeer()), self.note)
+        self.counters.ended("client", code, peer(self.transport), self.note)
+
+
+def peer(transport: object) -> str:
+    address = transport.getPeer()
+    return f"{getattr(address, 'host', '?')}:{getattr(address, 'port', 0)}"
 
 
 class Clients(Factory):
@@ -180,8 +216,15 @@
         return Client(self)
 
     def enter(self, client: Client) -> bool:
+        """Whether there is room; of the idle connections, the longest idle one makes room."""
         self.connections[client] = None
-        return len(self.connections) <= self.most
+        if len(self.connections) <= self.most:
+            return True
+        longest = min((each for each in self.connections if each is not client and each.idle()),
+                      key=lambda each: each.idle_since, default=None)
+        if longest:
+            longest.end("no_room")
+        return longest is not None
 
     def leave(self, client: Client) -> None:
         self.connections.pop(client, None)
@@ -190,5 +233,4 @@
         """Idle connections end now, the others with their last answer."""
         self.closing = True
         for client in list(self.connections):
-            if client.idle():
-                client.end("closing")
+            client.next()
--- a/tealsail/net/command.py
+++ b/tealsail/net/command.py
@@ -7,6 +7,7 @@
 from docopt import DocoptExit, docopt
 from loguru import logger
 from twisted.internet.error import CannotListenError
+from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
 from .. import __version__
 from .relay import Relay
@@ -53,9 +54,16 @@
     return 2
 
 
+def network_fault(event: dict) -> None:
+    """What the network library has to say: only what went wrong, as a line of ours."""
+    if event["log_level"] >= LogLevel.warn:
+        logger.error("network: {}", formatEvent(event) or event.get("log_failure"))
+
+
 def serve(told: Any) -> int:
     """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
     from twisted.internet import reactor
+    globalLogBeginner.beginLoggingTo([network_fault], redirectStandardIO=False)
     relay = Relay(reactor, told)
     relay.start()
 
--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -45,9 +45,10 @@
 def read_news(tree: Any) -> News:
     """From JSON; `known` in a relay's configuration has the same form."""
     try:
-        entries = [Entry(str(each["instanceId"]), address(each.get("hostPort", "")), str(each.get("zone", "")),
-                         int(each.get("cell", 0)), str(each.get("lifecycle", "ready")),
-                         float(each.get("weight", 1)), float(each.get("startedAtMs", 0)), int(each.get("build", 0)))
+        entries = [Entry(str(each["instanceId"]), address(each.get("hostPort", "")),
+                         str(each.get("zone", "")), int(each.get("cell", 0)),
+                         str(each.get("lifecycle", "ready")), float(each.get("weight", 1)),
+                         float(each.get("startedAtMs", 0)), int(each.get("build", 0)))
                    for each in tree["instances"]]
         return News(int(tree["generation"]), bool(tree.get("reset", True)), entries)
     except (KeyError, TypeError, ValueError, AttributeError) as problem:
@@ -215,7 +216,8 @@
 
     def __init__(self, reactor: Any, address: str, path: str, counters: Counters,
                  tell: Callable[[News], None]) -> None:
-        self.reactor, self.address, self.path, self.counters, self.tell = reactor, address, path, counters, tell
+        self.reactor, self.address, self.path = reactor, address, path
+        self.counters, self.tell = counters, tell
         self.version: int | None = None          # None: the whole list is asked for
         self.caller: Caller | None = None
         self.timer: Any = None                   # of the call that is out, or of the next try
@@ -227,7 +229,8 @@
         if self.stopped:
             return
         host, port = self.address.rsplit(":", 1)
-        joined = connectProtocol(TCP4ClientEndpoint(self.reactor, host, int(port), timeout=SLACK), Caller(self))
+        endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=SLACK)
+        joined = connectProtocol(endpoint, Caller(self))
         joined.addCallbacks(self.joined, lambda reason: self.again("refused"))
 
     def joined(self, caller: Caller) -> None:
--- a/tealsail/net/messages.py
+++ b/tealsail/net/messages.py
@@ -4,6 +4,7 @@
 from typing import Iterator, NamedTuple
 
 LONGEST = 256 * 1024                             # a value of 64 KiB in hex, a statement round it, and room
+LONGEST_OPENING = 10_000
 SSL, GSSENC, CANCEL, VERSION_3 = 80877103, 80877104, 80877102, 3
 
 
@@ -28,7 +29,7 @@
 
 
 class Extended(NamedTuple):
-    """A message of the extended protocol or a function call; a Sync ends them."""
+    """A message of the extended protocol; a Sync ends them."""
     sync: bool
 
 
@@ -100,7 +101,7 @@
             if len(self.held) < head:
                 return
             length, = struct.unpack_from(">I", self.held, head - 4)
-            if not 4 <= length <= LONGEST:
+            if not 4 <= length <= (LONGEST if self.typed else LONGEST_OPENING):
                 raise Unreadable(f"a message of {length} bytes")
             if len(self.held) < head - 4 + length:
                 return
@@ -198,7 +199,7 @@
 def trouble(code: str, text: str, come_back: int | None = None, fatal: bool = False) -> bytes:
     """An ErrorResponse; `come_back` in milliseconds goes into the field for details."""
     severity = "FATAL" if fatal else "ERROR"
-    fields = [f"S{severity}", f"V{severity}", f"C{code}", f"M{text}", *([f"D{come_back}"] if come_back else [])]
+    fields = [f"S{severity}", f"V{severity}", f"C{code}", f"M{text}"] + [f"D{come_back}"] * bool(come_back)
     return message(b"E", b"".join(field.encode() + b"\0" for field in fields) + b"\0")
 
 
--- a/tealsail/net/platform.py
+++ b/tealsail/net/platform.py
@@ -128,7 +128,8 @@
         if self.stopped:
             return
         host, port = self.address.rsplit(":", 1)
-        joined = connectProtocol(TCP4ClientEndpoint(self.reactor, host, int(port), timeout=CONNECT), Caller(self))
+        endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=CONNECT)
+        joined = connectProtocol(endpoint, Caller(self))
         joined.addCallbacks(self.joined, lambda reason: self.again())
 
     def joined(self, caller: Caller) -> None:
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -3,11 +3,12 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
+from twisted.python.failure import Failure
 
 from .. import settings
-from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot,
-                      Standing, Step, Units as Listing)
+from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
+                      Step, Units as Listing)
 from .clients import Answer, Clients, Forfeited, Rejected
 from .counters import Counters
 from .discovery import Discovery, Entry, News
@@ -18,7 +19,7 @@
 from .units import Came, Shot, Units
 
 PATH = "/catalog/members"
-SPARE, FEWEST = 64, 64                           # descriptors kept for all but clients and units; at the least
+SPARE, FEWEST = 64, 64                           # descriptors for all but clients and units; at least
 STATES = {"ready": "open", "draining": "draining", "gone": "gone"}
 LINGER, LAST = 0.5, 0.05                         # seconds after SIGTERM: clients still come; looks at the end
 TENTHS = 10_000                                  # in a second
@@ -69,7 +70,9 @@
     def came(self, came: Came, place: int) -> None:
         self.shots.pop(place, None)
         self.relay.counters.add(f"units.{came.outcome}")
-        step = self.relay.facade.report(Outcome(self.number, place, came.outcome, came.load))
+        fields = self.relay.load_fields
+        load = {name: figure for name, figure in (came.load or {}).items() if name in fields}
+        step = self.relay.facade.report(Outcome(self.number, place, came.outcome, load or None))
         if came.outcome == "served" and came.value:
             self.end(came.value)
         self.follow(step)
@@ -101,7 +104,7 @@
 
     def __init__(self, reactor: Any, told: Assignment, counters: Counters | None = None) -> None:
         self.reactor, self.told, self.counters = reactor, told, counters or Counters()
-        self.last = 0
+        self.last, self.due = 0, 0
         facts = told.facts
         self.facade = Facade(facts, told.seed, self.clock)
         room = max(FEWEST, told.sockets - SPARE) // 2
@@ -112,6 +115,7 @@
         self.platform = Platform(reactor, told.platform, facts.get("vote_wait", TENTHS) / TENTHS,
                                  self.counters, self.stood, self.counted)
         self.peers = Peers(told.peers, told.everyone, self.counters, self.heard)
+        self.load_fields = facts.get("load_fields", [])
         self.zones = {name: place for place, name in enumerate(facts.get("zones", []))}
         self.serving: dict[int, Serving] = {}
         self.ports: list[Any] = []
@@ -143,7 +147,11 @@
     def take(self, statement: Statement, at: int) -> Deferred[Answer]:
         if statement.workload not in self.facade.workloads:
             raise Unclear("no such workload")
-        answer = Serving(self, statement, at).answer
+        try:
+            answer = Serving(self, statement, at).answer
+        except Exception:                        # a fault of ours costs this invocation alone
+            self.fault(Failure())
+            return succeed(Forfeited())
         self.schedule()
         return answer
 
@@ -153,7 +161,7 @@
         entries = [entry for entry in news.entries if entry.address or entry.state != "ready"]
         for entry in entries:
             if entry.state == "ready":
-                self.units.listed(number_of(entry.id), entry.address, entry.build, settings.tenths(entry.started))
+                self.units.listed(number_of(entry.id), entry.address, entry.build, entry.started)
             else:
                 self.units.unlisted(number_of(entry.id))
         if kind != "changes":
@@ -169,7 +177,8 @@
                       self.zones.get(entry.zone, 0), entry.cell, entry.weight, settings.tenths(entry.started))
 
     def stood(self, state: State) -> None:
-        self.facade.report(Standing(state.build, state.stage, state.phase, state.cap, settings.tenths(state.age)))
+        self.facade.report(Standing(state.build, state.stage, state.phase, state.cap,
+                                    settings.tenths(state.age)))
         self.schedule()
 
     def counted(self, answer: str) -> None:
@@ -182,10 +191,13 @@
 
     def schedule(self) -> None:
         """The next tick, when the facade is due."""
-        if self.timer and self.timer.active():
+        due, active = self.facade.due, self.timer is not None and self.timer.active()
+        if active and due >= self.due:
+            return                               # a tick too early does no harm
+        if active:
             self.timer.cancel()
-        wait = max(0, self.facade.due - self.clock()) / TENTHS
-        self.timer = self.reactor.callLater(min(wait, 1.0), self.ticked)
+        self.due = due
+        self.timer = self.reactor.callLater(min(max(0, due - self.clock()) / TENTHS, 1.0), self.ticked)
 
     def ticked(self) -> None:
         wants = self.facade.tick()
@@ -201,13 +213,13 @@
                 self.serving[number].call_off(place)
         self.schedule()
 
-    def fault(self, reason: Any) -> None:
+    def fault(self, reason: Failure) -> None:
         """Network code went wrong with one invocation; the process goes on."""
         self.counters.add("faults")
         logger.error("fault: {}", reason.getTraceback())
 
     def stop(self) -> Deferred[None]:
-        """Clients still come for a moment; then no new ones, and the end once all that was taken is answered."""
+        """Clients still come for a moment; then no new ones, and the end once all is answered."""
         if not self.stopped:
             logger.info("stopping: {} invocations at hand", len(self.serving))
             self.stopped = Deferred()
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -43,6 +43,8 @@
         self.described: messages.Described | None = None
         self.row: messages.Row | None = None
         self.unsent = b""
+        self.result: Came | None = None          # of the shot; told with the load report, at ReadyForQuery
+        self.stopped: Came | None = None         # what to tell of a shot that is waited for no longer
         self.idle_since = 0.0
         self.code = ""
 
@@ -74,13 +76,12 @@
                 self.settled = True
                 self.ready.callback(self)
             case messages.Ready():
-                if self.shot:                    # the end of an answer with no whole row
-                    self.finish("error")
+                self.finish(Came("error"))       # if there was neither a whole row nor an error
                 self.pool.free(self)
             case messages.Trouble(code, _) if not self.settled:
                 self.refused = "full" if code == b"53300" else "unreachable"
             case messages.Trouble(code, _):
-                self.finish("full" if code == b"53300" else "error")
+                self.result = Came("full" if code == b"53300" else "error")
             case messages.Described():
                 self.described, self.row = what, None
             case messages.Row():
@@ -89,15 +90,13 @@
                 self.row = what
             case messages.Complete() if self.shot:
                 if self.described and self.row and self.row.columns == self.described.columns == 1:
-                    self.finish("served", Value(self.described, self.row, what))
-                else:
-                    self.finish("error")
+                    self.result = Came("served", Value(self.described, self.row, what))
             case messages.Authentication(kind) if kind:
                 raise messages.Unreadable("a password is asked for")
 
     def ask(self, shot: "Shot", query: bytes) -> None:
         self.shot, self.written, self.unsent, self.told = shot, False, query, False
-        self.described = self.row = None
+        self.described = self.row = self.result = None
         self.transport.registerProducer(self, False)
 
     def resumeProducing(self) -> None:
@@ -112,10 +111,10 @@
     def stopProducing(self) -> None:
         """The connection has ended; `written` keeps what was known."""
 
-    def finish(self, outcome: str, value: Value | None = None) -> None:
+    def finish(self, otherwise: Came) -> None:
         shot, self.shot = self.shot, None
         if shot:
-            shot.end(Came(outcome, value, self.pool.load if self.told else None))
+            shot.end((self.result or otherwise)._replace(load=self.pool.load if self.told else None))
 
     def end(self, code: str) -> None:
         """Close it at once; nothing more of it is read."""
@@ -130,14 +129,15 @@
             self.settled = True
             self.ready.errback(ConnectionError(self.refused or "unreachable"))
         # whether a shot may have run is decided by whether its last byte was written
-        self.finish("reset" if self.written else "unreachable")
+        self.finish(self.stopped or Came("reset" if self.written else "unreachable"))
         self.counters.ended("unit", code, self.pool.address)
 
 
 class Shot:
     """One attempt: `done` gets its one `Came`.  `stands` is asked before it is written after a wait."""
 
-    def __init__(self, pool: "Pool", text: Callable[[], bytes], wait: float, stands: Callable[[], bool]) -> None:
+    def __init__(self, pool: "Pool", text: Callable[[], bytes], wait: float,
+                 stands: Callable[[], bool]) -> None:
         self.pool, self.text, self.stands = pool, text, stands
         self.done: Deferred[Came] = Deferred()
         self.connection: Connection | None = None
@@ -175,11 +175,11 @@
         """Stop waiting.  The connection is closed first, so that nothing is out when the next shot begins."""
         if self.over:
             return
-        written = self.connection is not None and self.connection.written
-        if self.connection:
-            self.connection.shot = None
-            self.connection.end(outcome)
-        self.end(Came(outcome if written else "moot"))
+        if not self.connection:
+            return self.end(Came("moot"))        # nothing was written
+        # told once the connection has ended: a further shot must not go out while this one's is open
+        self.connection.stopped = Came(outcome if self.connection.written else "moot")
+        self.connection.end(outcome)
 
     def end(self, came: Came) -> None:
         if not self.over:
@@ -193,11 +193,11 @@
     """The connections to one unit at one address."""
 
     def __init__(self, units: "Units", address: str) -> None:
-        self.units, self.reactor, self.counters, self.address = units, units.reactor, units.counters, address
+        self.units, self.address = units, address
+        self.reactor, self.counters = units.reactor, units.counters
         self.load: dict[str, float] | None = None
         self.idle: list[Connection] = []         # the one used last is used first
         self.all: dict[Connection, None] = {}
-        self.opening = 0
         self.closed = False
 
     def idle_one(self) -> Connection | None:
@@ -205,10 +205,12 @@
 
     def open(self) -> Deferred[Connection]:
         """A new connection, set up within the time for that; it fails as `unreachable` or `full`."""
+        connection = Connection(self)
         if not self.units.room():
             self.counters.add("units.no_room")
-            return failed("unreachable")
-        connection = Connection(self)
+            connection.settled = True
+            connection.ready.errback(ConnectionError("unreachable"))
+            return connection.ready
         self.all[connection] = None
         host, port = self.address.rsplit(":", 1)
         endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=self.units.connect_wait)
@@ -261,17 +263,12 @@
             self.idle.pop().end("unlisted")
 
 
-def failed(text: str) -> Deferred:
-    deferred: Deferred = Deferred()
-    deferred.errback(ConnectionError(text))
-    return deferred
-
-
 class Units:
     """All units that are listed: number -> pool."""
     TRIM = 1.0
 
-    def __init__(self, reactor: Any, counters: Counters, connect_wait: float, idle_time: float, most: int) -> None:
+    def __init__(self, reactor: Any, counters: Counters, connect_wait: float, idle_time: float,
+                 most: int) -> None:
         self.reactor, self.counters = reactor, counters
         self.connect_wait, self.idle_time, self.most = connect_wait, idle_time, most
         self.pools: dict[int, Pool] = {}
@@ -296,7 +293,8 @@
     def numbers(self) -> list[int]:
         return list(self.pools)
 
-    def shoot(self, number: int, text: Callable[[], bytes], wait: float, stands: Callable[[], bool]) -> Shot | None:
+    def shoot(self, number: int, text: Callable[[], bytes], wait: float,
+              stands: Callable[[], bool]) -> Shot | None:
         """None: that unit is not listed (any more)."""
         pool = self.pools.get(number)
         if pool is None:
