--- a/tests/fake.py
+++ b/tests/fake.py
@@ -1,9 +1,17 @@
-"""The one fake host of the stories, and a relay that it drives."""
+"""The one fake host of the stories, a relay that it drives, and a network in memory."""
 import struct
 from typing import Any
 
+from loguru import logger
+from twisted.internet import testing
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.python.failure import Failure
+
 from tealsail import policy
 
+logger.remove()                                  # the stories are told by their assertions
+
 SECOND = policy.SECOND
 HARMLESS = dict(promised=SECOND, abandon=4 * SECOND, effect="harmless", payoff=1.0)
 STAMPED = dict(HARMLESS, effect="stamped", group="zone", memory=2 * SECOND)
@@ -87,3 +95,107 @@
 
     def votes(self) -> list[int]:
         return [verdict for _, _, verdict in self.host.of("vote")]
+
+
+# The network code's stories: connections in memory, and a clock that only a story moves.
+
+class Wire(testing.StringTransport):
+    """One end of a connection; what it wrote is what `sent` returns.  Closing shows only after `settle`,
+    as with real sockets."""
+    closing = ended = False
+
+    def __init__(self, protocol: Any) -> None:
+        super().__init__(peerAddress=IPv4Address("TCP", "127.0.0.2", 999))
+        self.protocol = protocol
+        protocol.makeConnection(self)
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        """Nothing to delay."""
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        super().registerProducer(producer, streaming)
+        if not streaming:
+            producer.resumeProducing()
+
+    def sent(self) -> bytes:
+        """All that was written, now on its way."""
+        if self.producer and not self.streaming:
+            self.producer.resumeProducing()
+        data = self.value()
+        self.clear()
+        return data
+
+    def loseConnection(self) -> None:
+        self.closing = True
+
+    abortConnection = loseConnection
+
+    def settle(self) -> bool:
+        """Whether it has ended by now."""
+        if self.closing and not self.ended:
+            self.drop(ConnectionDone())
+        return self.ended
+
+    def drop(self, reason: Exception | None = None) -> None:
+        self.ended = True
+        self.protocol.connectionLost(Failure(reason or ConnectionLost()))
+
+    def gets(self, data: bytes, piece: int = 1 << 20) -> None:
+        for first in range(0, len(data), piece):
+            self.protocol.dataReceived(data[first:first + piece])
+
+
+class Reactor(testing.MemoryReactorClock):
+    """Everything on a network in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rightNow = 1_700_000_000.0
+        self.datagrams: list[tuple[bytes, tuple[str, int]]] = []
+        self.udp: Any = None
+
+    def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 0) -> Any:
+        self.udp, protocol.transport = protocol, self
+        return self
+
+    def write(self, data: bytes, to: tuple[str, int]) -> None:
+        self.datagrams.append((data, to))
+
+    def stopListening(self) -> None:
+        self.udp = None
+
+    def dialled(self, port: int) -> list[int]:
+        """Which of the connections asked for go to that port and are neither up nor refused."""
+        return [place for place, each in enumerate(self.tcpClients) if each and each[1] == port]
+
+    def up(self, port: int) -> Wire:
+        """The oldest connection asked for to that port comes up."""
+        place = self.dialled(port)[0]
+        factory, self.tcpClients[place] = self.tcpClients[place][2], None
+        return Wire(factory.buildProtocol(None))
+
+    def refuse(self, port: int) -> None:
+        place = self.dialled(port)[0]
+        factory, self.tcpClients[place] = self.tcpClients[place][2], None
+        factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+
+def field(kind: bytes, body: bytes) -> bytes:
+    """A message of the protocol, as a stand-in words it."""
+    return kind + struct.pack(">I", len(body) + 4) + body
+
+
+IDLE = field(b"Z", b"I")
+GREETING = field(b"R", bytes(4)) + field(b"K", bytes(8)) + IDLE
+ROW = (field(b"T", b"\0\1content\0" + bytes(16) + b"\0\1") + field(b"D", b"\0\1\0\0\0\2\x9f\x03")
+       + field(b"C", b"SELECT 1\0"))
+OPENING = struct.pack(">II", 37, 3 << 16) + b"user\0backend\0database\0store\0\0"
+
+
+def failure(code: str) -> bytes:
+    return field(b"E", f"SERROR\0C{code}\0Mno\0\0".encode())
+
+
+def asking(wait: int = 480, more: str = "", workload: str = "basket", name: str = "7f3a") -> bytes:
+    text = f"SELECT content FROM kv WHERE name = '{name}' /* id=9b1f,c={workload},t=acme,d={wait}{more} */"
+    return field(b"Q", text.encode() + b"\0")
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,129 @@
+"""Clients' connections in memory: what comes, what is answered, and how they end."""
+import unittest
+
+from twisted.internet.defer import Deferred
+
+from tealsail.net import clients, messages
+from tealsail.net.counters import Counters
+
+from .fake import GREETING, IDLE, OPENING, Wire, asking, field
+
+VALUE = messages.Value(messages.Described(b"\0\1x", 1), messages.Row(b"\0\1y", 1), messages.Complete(b"z\0"))
+EMPTY = field(b"Q", b"\0")
+
+
+class Stories(unittest.TestCase):
+    def setUp(self) -> None:
+        self.taken: list[Deferred] = []
+        self.left: list[int] = []
+        self.counters = Counters()
+        self.clients = clients.Clients(self.take, lambda: 70, self.counters, 3)
+
+    def take(self, statement: object, at: int) -> Deferred:
+        place = len(self.taken)
+        self.taken.append(Deferred(lambda _: self.left.append(place)))
+        return self.taken[-1]
+
+    def client(self, opened: bool = True) -> Wire:
+        wire = Wire(self.clients.buildProtocol(None))
+        if opened:
+            wire.gets(OPENING)
+            wire.sent()
+        return wire
+
+    def codes(self) -> list[str]:
+        return sorted(name.rpartition(".")[2] for name in self.counters.counts if "client.ended" in name)
+
+    def test_encryption_declined_then_welcome_and_the_empty_query_byte_by_byte(self) -> None:
+        wire = self.client(opened=False)
+        wire.gets(bytes.fromhex("0000000804d2162f0000000804d21630"), piece=1)
+        self.assertEqual(wire.sent(), b"NN")
+        wire.gets(OPENING + EMPTY, piece=1)
+        sent = wire.sent()
+        self.assertTrue(sent.startswith(GREETING[:9]) and sent.endswith(IDLE + field(b"I", b"") + IDLE))
+
+    def test_queries_one_behind_another_are_answered_in_their_order(self) -> None:
+        wire = self.client(opened=False)
+        wire.gets(OPENING + asking() + EMPTY + field(b"Q", b"SET x = 1\0") + asking())
+        wire.sent()
+        self.assertEqual(len(self.taken), 1)
+        self.taken[0].callback(VALUE)
+        self.assertEqual(wire.sent(), messages.whole(VALUE) + field(b"I", b"") + IDLE
+                         + field(b"C", b"SET\0") + IDLE)
+        self.taken[1].callback(clients.Rejected(25))
+        self.assertIn(b"C53300\0", wire.value())
+        self.assertIn(b"D3\0", wire.sent())
+        wire.gets(asking())
+        self.taken[2].callback(clients.Forfeited())
+        self.assertNotIn(b"C53300\0", wire.value())
+        self.assertNotIn(b"C57P03\0", wire.sent())
+
+    def test_a_client_that_closes_has_gone_away(self) -> None:
+        wire = self.client()
+        wire.gets(asking() + asking())
+        wire.drop()
+        self.assertEqual((self.left, len(self.taken), self.codes()), ([0], 1, ["left"]))
+
+    def test_what_can_not_be_read_is_answered_and_the_connection_goes_on(self) -> None:
+        wire = self.client()
+        wire.gets(field(b"Q", b"SELECT 1\0") + asking(more=",z"))
+        self.assertEqual(wire.sent().count(b"C42601\0"), 2)
+        wire.gets(asking())
+        self.assertEqual(len(self.taken), 1)
+
+    def test_the_extended_protocol_is_declined_once_up_to_its_sync(self) -> None:
+        wire = self.client()
+        wire.gets(field(b"P", b"\0\0\0\0") + field(b"B", b"\0") + EMPTY + field(b"S", b"") + EMPTY)
+        sent = wire.sent()
+        self.assertEqual(sent.count(b"C0A000\0"), 1)
+        self.assertTrue(sent.endswith(IDLE + field(b"I", b"") + IDLE))
+
+    def test_a_lost_stream_ends_the_connection_behind_the_answers_still_due(self) -> None:
+        for wrong in (b"Q\x7f\0\0\0", field(b"!", b""), field(b"Q", b"no end")):
+            wire, place = self.client(), len(self.taken)
+            wire.gets(asking() + wrong + EMPTY)
+            self.assertFalse(wire.closing)
+            self.taken[place].callback(VALUE)
+            sent = wire.sent()
+            self.assertTrue(sent.startswith(messages.whole(VALUE)))
+            self.assertIn(b"SFATAL\0VFATAL\0C08P01\0", sent)
+            self.assertTrue(wire.settle())
+        self.assertEqual(self.codes(), ["unreadable"])
+
+    def test_a_full_house_ends_the_longest_idle_or_refuses_and_does_not_crash(self) -> None:
+        idle, *busy = self.client(), self.client(), self.client()
+        for wire in busy:
+            wire.gets(asking())
+        busy.append(self.client())
+        self.assertTrue(idle.settle())
+        busy[-1].gets(asking())
+        late = self.client(opened=False)
+        late.gets(OPENING)
+        self.assertIn(b"C53300\0", late.sent())
+        self.assertTrue(late.settle())
+        self.assertEqual(self.codes(), ["full", "no_room"])
+
+    def test_answers_that_nobody_reads_do_not_pile_up(self) -> None:
+        wire = self.client()
+        wire.producer.pauseProducing()
+        wire.gets(EMPTY * 200)
+        self.assertEqual(wire.sent(), b"")
+        self.assertEqual(wire.producerState, "paused")
+        wire.producer.resumeProducing()
+        self.assertEqual(wire.sent(), (field(b"I", b"") + IDLE) * 200)
+        self.assertEqual(wire.producerState, "producing")
+
+    def test_at_the_end_idle_connections_close_and_busy_ones_with_their_last_answer(self) -> None:
+        idle, busy = self.client(), self.client()
+        busy.gets(asking())
+        self.clients.close()
+        self.assertEqual((idle.settle(), busy.settle()), (True, False))
+        self.taken[0].callback(VALUE)
+        self.assertEqual((busy.sent(), busy.settle()), (messages.whole(VALUE), True))
+
+    def test_a_cancel_request_and_a_goodbye(self) -> None:
+        for data in (bytes.fromhex("0000001004d2162e") + bytes(8), OPENING + field(b"X", b"")):
+            wire = self.client(opened=False)
+            wire.gets(data)
+            self.assertTrue(wire.settle())
+        self.assertEqual(self.codes(), ["cancel", "goodbye"])
--- /dev/null
+++ b/tests/test_facade.py
@@ -0,0 +1,82 @@
+"""The module in blocking style, without sockets."""
+import unittest
+
+from tealsail.facade import (CallOff, Departed, Facade, Flagged, Forfeit, Heard, Listed, Outcome, Reject,
+                             Shoot, Standing, Units)
+
+from .fake import HARMLESS, ONE_SHOT, SECOND
+
+
+class Clock:
+    now = 100 * SECOND
+
+    def __call__(self) -> int:
+        return self.now
+
+
+class Stories(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = Clock()
+        facts = dict(workloads=[dict(HARMLESS, name="basket"), dict(ONE_SHOT, name="order")], most_shots=3,
+                     customers=[dict(name="acme", share=1.0)], may_cancel=True, may_tell=True, relays=3)
+        self.facade = Facade(facts, 7, self.clock)
+        self.facade.report(Standing(1, 1, "released", 1.0, 0))
+        self.facade.report(Units("whole", [Listed(unit, 1, "open", 0, 0, 1.0, 0) for unit in (5, 6)]))
+
+    def pick(self, workload: str = "basket") -> tuple:
+        return self.facade.pick(workload, "acme", "key", self.clock.now + 4 * SECOND)
+
+    def test_a_step_for_every_pick_and_for_every_outcome_until_the_answer(self) -> None:
+        number, first = self.pick()
+        self.assertIsInstance(first, Shoot)
+        self.clock.now += 300
+        further = self.facade.report(Outcome(number, 0, "unreachable"))
+        self.assertEqual((further.place, {first.unit, further.unit}), (1, {5, 6}))
+        self.assertIsNone(self.facade.report(Outcome(number, 1, "served", {"util": 0.5})))
+        self.assertEqual(self.facade.relay.units[further.unit].util, 0.5)
+
+    def test_a_one_shot_invocation_that_may_have_run_is_forfeited_and_an_untouched_one_rejected(self) -> None:
+        number, _ = self.pick("order")
+        self.assertEqual(self.facade.report(Outcome(number, 0, "reset")), Forfeit())
+        self.facade.report(Units("whole", []))
+        self.assertEqual(self.pick("order")[1], Reject(0))
+
+    def test_calling_off_and_notes_come_out_of_the_tick_that_is_due(self) -> None:
+        number, _ = self.pick()
+        self.facade.tick()
+        self.facade.report(Departed(number))
+        self.assertEqual(self.facade.due, self.clock.now)
+        self.assertEqual(self.facade.tick().calls_off, [CallOff(number, 0)])
+        self.assertGreater(self.facade.due, self.clock.now)
+        self.facade.report(Standing(2, 0, "on trial", 0.5, 0))
+        notes = []
+        for _ in range(8):
+            self.clock.now = max(self.clock.now, self.facade.due)
+            notes += self.facade.tick().notes
+        self.assertEqual({note.relay for note in notes}, {1, 2})
+        self.facade.report(Heard(1, notes[0].data))
+        self.assertIn(1, self.facade.relay.judge.heard)
+
+    def test_a_picked_shot_stands_until_the_list_or_the_cap_is_against_it(self) -> None:
+        number, step = self.pick()
+        self.assertTrue(self.facade.stands(number, 0))
+        self.facade.report(Units("changes", [Listed(step.unit, 1, "draining", 0, 0, 1.0, 0)]))
+        self.assertFalse(self.facade.stands(number, 0))
+        self.facade.report(Units("whole", [Listed(8, 2, "open", 0, 0, 1.0, 0)]))
+        self.facade.report(Standing(2, 0, "on trial", 0.5, 0))
+        number, step = self.pick()
+        self.assertTrue(self.facade.stands(number, 0))
+        self.clock.now += 2 * SECOND
+        self.facade.report(Standing(2, 0, "going back", 0.0, 0))
+        self.assertFalse(self.facade.stands(number, 0))
+
+    def test_a_fault_of_the_module_costs_at_most_that_invocation_and_is_logged(self) -> None:
+        self.facade.report(Flagged(5, 99, 0))                    # build 1, and no workload of that number
+        number, _ = self.pick()
+        self.facade.relay.choice.cost = lambda unit: 1 / 0
+        self.assertEqual(self.facade.report(Outcome(number, 0, "unreachable")), Forfeit())
+        self.assertEqual(self.facade.faults, 2)
+        self.assertEqual([line.split(":")[0] for line in self.facade.tick().lines],
+                         ["fault IndexError", "fault ZeroDivisionError"])
+        del self.facade.relay.choice.cost
+        self.assertIsInstance(self.pick()[1], Shoot)
--- /dev/null
+++ b/tests/test_units.py
@@ -0,0 +1,164 @@
+"""Units' connections in memory: kept, used again, and what may have run."""
+import unittest
+
+from twisted.internet.error import ConnectionDone
+
+from tealsail.net import messages, units
+from tealsail.net.counters import Counters
+
+from .fake import GREETING, IDLE, OPENING, ROW, Reactor, Wire, failure, field
+
+QUERY = field(b"Q", b"text\0")
+
+
+class Stories(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reactor = Reactor()
+        self.units = units.Units(self.reactor, Counters(), 0.25, 30.0, 3)
+        self.units.listed(1, "127.0.0.9:7001", 5, 0)
+        self.stands = True
+
+    def shoot(self, number: int = 1, wait: float = 1.0) -> list[units.Came]:
+        shot = self.units.shoot(number, lambda: b"text", wait, lambda: self.stands)
+        self.shot, came = shot, []
+        shot.done.addCallback(came.append)
+        return came
+
+    def up(self) -> Wire:
+        wire = self.reactor.up(7001)
+        wire.gets(GREETING)
+        return wire
+
+    def served(self) -> Wire:
+        """A connection that is idle after one shot."""
+        came, wire = self.shoot(), self.up()
+        wire.sent()
+        wire.gets(ROW + IDLE)
+        self.assertEqual(came[0].outcome, "served")
+        return wire
+
+    def test_a_whole_answer_byte_by_byte_with_the_load_report_behind_it(self) -> None:
+        came, wire = self.shoot(), self.reactor.up(7001)
+        self.assertEqual(wire.sent(), OPENING)
+        wire.gets(GREETING, piece=1)
+        self.assertEqual(wire.sent(), QUERY)
+        wire.gets(ROW + field(b"S", b"stats\0inflight=7,util=0.61\0") + IDLE, piece=1)
+        self.assertEqual((came[0].outcome, messages.whole(came[0].value), came[0].load),
+                         ("served", ROW + IDLE, {"inflight": 7.0, "util": 0.61}))
+
+    def test_the_connection_used_last_is_used_first_and_one_shot_at_a_time(self) -> None:
+        self.shoot(), self.shoot()
+        first, second = self.up(), self.up()
+        for wire in (first, second):
+            wire.sent()
+            wire.gets(ROW + IDLE)
+        self.shoot()
+        self.assertEqual((first.sent(), second.sent()), (b"", QUERY))
+        self.shoot()
+        self.assertEqual((first.sent(), self.reactor.dialled(7001)), (QUERY, []))
+
+    def test_outcomes_by_what_came_back(self) -> None:
+        wire = self.served()
+        for answer, outcome in ((failure("XX000"), "error"), (failure("53300"), "full"),
+                                (failure("57P03"), "error"), (field(b"C", b"SELECT 0\0"), "error")):
+            came = self.shoot()
+            wire.sent()
+            wire.gets(answer + IDLE)
+            self.assertEqual(came[0].outcome, outcome)
+
+    def test_whether_it_may_have_run_is_decided_by_its_last_byte(self) -> None:
+        for written, outcome in ((False, "unreachable"), (True, "reset")):
+            came, wire = self.shoot(), self.up()
+            if written:
+                wire.sent()
+            wire.drop(ConnectionDone())
+            self.assertEqual(came[0].outcome, outcome)
+
+    def test_an_answer_is_whole_though_the_connection_breaks_right_behind_it(self) -> None:
+        for answer, outcome in ((ROW, "served"), (ROW[:-1], "reset")):
+            came, wire = self.shoot(), self.up()
+            wire.sent()
+            wire.gets(answer)
+            wire.drop()
+            self.assertEqual(came[0].outcome, outcome)
+
+    def test_never_run_if_refused_turned_away_at_setup_or_never_up(self) -> None:
+        came = self.shoot()
+        self.reactor.refuse(7001)
+        turned, wire = self.shoot(), self.reactor.up(7001)
+        wire.gets(failure("53300"))
+        wire.drop()
+        late, silent = self.shoot(), self.reactor.up(7001)
+        self.reactor.advance(0.3)
+        self.assertTrue(silent.settle())
+        self.assertEqual([each[0].outcome for each in (came, turned, late)],
+                         ["unreachable", "full", "unreachable"])
+
+    def test_a_pick_that_no_longer_stands_when_the_connection_is_up_is_not_written(self) -> None:
+        came, wire = self.shoot(), self.reactor.up(7001)
+        wire.sent()
+        self.stands = False
+        wire.gets(GREETING)
+        self.assertEqual((wire.sent(), came[0].outcome), (b"", "moot"))
+
+    def test_a_shot_given_up_is_told_once_its_connection_has_ended(self) -> None:
+        """Guards against a further shot that is written while the one before it is still open."""
+        came, wire = self.shoot(wait=0.2), self.up()
+        wire.sent()
+        self.reactor.advance(0.2)
+        self.assertEqual((wire.closing, came), (True, []))
+        wire.settle()
+        self.assertEqual(came[0].outcome, "timeout")
+        came = self.shoot(wait=0.2)
+        self.reactor.advance(0.2)
+        self.assertEqual(came[0].outcome, "moot")                # no byte of it was written
+
+    def test_a_connection_set_up_too_late_for_its_shot_serves_the_next(self) -> None:
+        self.shoot(wait=0.1)
+        self.reactor.advance(0.1)
+        wire = self.up()
+        wire.sent()
+        self.shoot()
+        self.assertEqual(wire.sent(), QUERY)
+
+    def test_idle_connections_end_before_the_unit_would_end_them(self) -> None:
+        wire = self.served()
+        for _ in range(27):
+            self.reactor.advance(1)
+        self.assertFalse(wire.closing)
+        for _ in range(3):
+            self.reactor.advance(1)
+        self.assertTrue(wire.settle())
+        self.shoot()
+        self.assertEqual(len(self.reactor.dialled(7001)), 1)
+
+    def test_a_connection_that_has_ended_is_not_used_again(self) -> None:
+        self.served().drop(ConnectionDone())
+        self.shoot()
+        self.assertEqual(len(self.reactor.dialled(7001)), 1)
+
+    def test_an_id_that_comes_back_with_another_build_address_or_start_is_another_unit(self) -> None:
+        for mark in (("127.0.0.9:7001", 6, 0), ("127.0.0.9:7001", 6, 50), ("127.0.0.8:7001", 6, 50)):
+            wire = self.served()
+            self.units.listed(1, *mark)
+            self.assertTrue(wire.settle())
+        self.units.unlisted(1)
+        self.assertIsNone(self.units.shoot(1, lambda: b"", 1, lambda: True))
+
+    def test_no_more_connections_than_there_is_room_for(self) -> None:
+        idle = self.served()
+        self.units.listed(2, "127.0.0.9:7002", 5, 0)
+        self.shoot(2), self.shoot(2)
+        self.assertFalse(idle.closing)
+        self.shoot(2)
+        self.assertTrue(idle.settle())
+        self.assertEqual(self.shoot(2)[0].outcome, "unreachable")
+
+    def test_a_unit_that_talks_nonsense_is_left(self) -> None:
+        for nonsense in (field(b"!", b""), b"D\x7f\0\0\0", field(b"D", b""), field(b"R", b"\0\0\0\3"),
+                         field(b"D", b"\0\1") * 2):
+            came, wire = self.shoot(), self.up()
+            wire.sent()
+            wire.gets(nonsense)
+            self.assertTrue(wire.settle())
+            self.assertEqual(came[0].outcome, "reset")
