--- a/tealsail/__main__.py
+++ b/tealsail/__main__.py
@@ -3,4 +3,4 @@
 
 from .net.command import main
 
-sys.exit(main(sys.argv[1:]))
+sys.exit(main())
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -11,7 +11,7 @@
 from .counters import Counters
 from .messages import Value
 
-MOST_QUERIES = 64                                # read ahead on one connection; then reading rests
+READ_AHEAD, EACH = 64 * 1024, 256                # bytes held of one connection, then reading rests; for each
 
 
 class Rejected(NamedTuple):
@@ -24,8 +24,7 @@
 
 
 Answer = Union[Value, Rejected, Forfeited]
-REJECTED, FORFEITED, FULL, CLOSING = "53300", "58000", "53300", "57P03"
-FORM, FOREIGN, LOST = "42601", "0A000", "08P01"
+REJECTED, FORFEITED, FULL, FORM, FOREIGN, LOST = "53300", "58000", "53300", "42601", "0A000", "08P01"
 
 
 def encoded(answer: Answer) -> bytes:
@@ -52,6 +51,10 @@
     note: str = ""
 
 
+def size(what: Asked | bytes | Ending) -> int:
+    return EACH + (len(what.text) if isinstance(what, Asked) else 0)
+
+
 class Client(Protocol):
     """One connection.  What comes is answered one after the other; `waiting` is the invocation at hand."""
 
@@ -61,7 +64,8 @@
         self.queue: deque[Asked | bytes | Ending] = deque()      # bytes: an answer that is known already
         self.waiting: Deferred[Answer] | None = None
         self.welcome = True                      # False: there is no room for it
-        self.skipping = self.working = self.clogged = self.deaf = False
+        self.skipping = self.working = self.clogged = self.deaf = self.resting = False
+        self.held = 0                            # bytes of the queue
         self.idle_since = clients.clock()
         self.code, self.note = "", ""
 
@@ -119,7 +123,9 @@
     def hold(self, what: Asked | bytes | Ending) -> None:
         self.queue.append(what)
         self.deaf |= isinstance(what, Ending)
-        if len(self.queue) == MOST_QUERIES:
+        self.held += size(what)
+        if self.held > READ_AHEAD and not self.resting:
+            self.resting = True
             self.transport.pauseProducing()
 
     def next(self) -> None:
@@ -128,9 +134,12 @@
             return
         self.working = True
         while self.queue and not self.waiting and not self.code and not self.clogged:
-            if len(self.queue) == MOST_QUERIES // 2:
+            first = self.queue.popleft()
+            self.held -= size(first)
+            if self.resting and self.held < READ_AHEAD // 2:
+                self.resting = False
                 self.transport.resumeProducing()
-            match self.queue.popleft():
+            match first:
                 case Asked(text, at):
                     self.answer(text, at)
                 case Ending(code, last, note):
--- a/tealsail/net/command.py
+++ b/tealsail/net/command.py
@@ -10,6 +10,7 @@
 from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
 from .. import __version__
+from .counters import Counters
 from .relay import Relay
 from .start import BadStart, read
 
@@ -32,7 +33,7 @@
 """
 
 
-def main(arguments: list[str]) -> int:
+def main(arguments: list[str] | None = None) -> int:
     try:
         chosen = docopt(USAGE, argv=arguments)
         if chosen["version"]:
@@ -64,8 +65,11 @@
     """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
     from twisted.internet import reactor
     globalLogBeginner.beginLoggingTo([network_fault], redirectStandardIO=False)
-    relay = Relay(reactor, told)
-    relay.start()
+    try:
+        relay = Relay(reactor, told, Counters())
+        relay.start()
+    except (ArithmeticError, AttributeError, LookupError, TypeError) as problem:
+        raise BadStart(f"the settings can't be used: {type(problem).__name__}: {problem}") from None
 
     def ended(_: None) -> None:
         if reactor.running:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -71,6 +71,15 @@
         wire.gets(asking())
         self.assertEqual(len(self.taken), 1)
 
+    def test_what_is_read_ahead_is_bounded(self) -> None:
+        wire = self.client()
+        for state in ("producing", "producing", "paused"):
+            wire.gets(asking(name="x" * 40000))
+            self.assertEqual(wire.producerState, state)
+        for place in range(3):
+            self.taken[place].callback(VALUE)
+        self.assertEqual(wire.producerState, "producing")
+
     def test_the_extended_protocol_is_declined_once_up_to_its_sync(self) -> None:
         wire = self.client()
         wire.gets(field(b"P", b"\0\0\0\0") + field(b"B", b"\0") + EMPTY + field(b"S", b"") + EMPTY)
@@ -83,10 +92,14 @@
             wire, place = self.client(), len(self.taken)
             wire.gets(asking() + wrong + EMPTY)
             self.assertFalse(wire.closing)
+            wire.gets(bytes(1000))               # what comes behind it is not kept
+            self.assertLess(len(wire.protocol.splitter.held), 100)
             self.taken[place].callback(VALUE)
             sent = wire.sent()
             self.assertTrue(sent.startswith(messages.whole(VALUE)))
-            self.assertIn(b"SFATAL\0VFATAL\0C08P01\0", sent)
+            self.assertEqual(sent.count(b"SFATAL\0VFATAL\0C08P01\0"), 1)
+            wire.gets(wrong)
+            self.assertEqual(wire.sent(), b"")
             self.assertTrue(wire.settle())
         self.assertEqual(self.codes(), ["unreadable"])
 
@@ -106,11 +119,11 @@
     def test_answers_that_nobody_reads_do_not_pile_up(self) -> None:
         wire = self.client()
         wire.producer.pauseProducing()
-        wire.gets(EMPTY * 200)
+        wire.gets(EMPTY * 400)
         self.assertEqual(wire.sent(), b"")
         self.assertEqual(wire.producerState, "paused")
         wire.producer.resumeProducing()
-        self.assertEqual(wire.sent(), (field(b"I", b"") + IDLE) * 200)
+        self.assertEqual(wire.sent(), (field(b"I", b"") + IDLE) * 400)
         self.assertEqual(wire.producerState, "producing")
 
     def test_at_the_end_idle_connections_close_and_busy_ones_with_their_last_answer(self) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -132,9 +132,12 @@
         wire.gets(reply(listing(42, True, unit(7002, "s-2"))), piece=9)
         self.assertIn(b"GET /catalog/members?after=42&wait_ms=20000 ", wire.sent())
         self.client(asking())
-        self.unit(7002)
+        first = self.unit(7002)
+        first.sent()
+        first.gets(ROW + IDLE)
         wire.gets(reply(listing(43, False, unit(7002, "s-2", "gone"), unit(7003, "s-3"))))
         self.assertIn(b"?after=43&", wire.sent())
+        self.assertTrue(first.settle())          # idle connections to what has left the list end
         self.client(asking())
         self.unit(7003)
 
@@ -151,6 +154,13 @@
         self.assertTrue(wire.settle())
         self.wait(0.5)
         wire = self.discovery(listing(42, True, unit(UNIT)))
+        wire.sent()
+        wire.gets(reply({"generation": "?"}))
+        self.assertTrue(wire.settle())
+        self.wait(0.3)
+        wire = self.reactor.up(LIST)
+        self.assertNotIn(b"after", wire.sent())  # what an unreadable answer told is missed: all of it anew
+        wire.gets(reply(listing(42, True, unit(UNIT))))
         self.wait(22.1)
         self.assertTrue(wire.settle())
         self.wait(0.2)
@@ -178,6 +188,7 @@
             vote = json.loads(wire.sent())
             self.assertEqual(vote["params"], {"Revision": 42, "Wave": 0, "Decision": "go"})
             self.news(wire, build=42, stands="canary")
+            wire.gets(b'{"id":1,"error":{"message":"FAILED"}}\n')        # late, of another call
             said = {"id": vote["id"], "error": {"code": -32602, "message": error}}
             wire.gets(json.dumps(said).encode() + b"\n")
             self.assertEqual(heard.pop(), answer)
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -57,6 +57,12 @@
         self.shoot()
         self.assertEqual((first.sent(), self.reactor.dialled(7001)), (QUERY, []))
 
+    def test_a_ready_too_many_makes_no_second_place_in_the_pool(self) -> None:
+        wire = self.served()
+        wire.gets(IDLE)
+        self.shoot(), self.shoot()
+        self.assertEqual((wire.sent(), len(self.reactor.dialled(7001))), (QUERY, 1))
+
     def test_outcomes_by_what_came_back(self) -> None:
         wire = self.served()
         for answer, outcome in ((failure("XX000"), "error"), (failure("53300"), "full"),
