--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -396,13 +396,15 @@
         return relay.index in alive[:JUDGES] or (self.place < self.voters and not self.facts["may_tell"])
 
     def tell(self) -> None:
-        """Cumulative counts to the judges and the next in line: what is new, and every fourth time all."""
+        """Cumulative counts to the judges and the next in line: each second what is new, every fourth time
+        all; the canary's new failures each half: what turns bad late must go before the next build is due."""
         relay, trial, tell = self.relay, self.relay.trial, self.relay.host.tell
-        if trial.build < 0 or not self.facts["may_tell"]:
+        counts = [count for name in GROUPS for count in trial.groups[name]]     # the canary's first
+        pressing = any(counts[each.row][1] > self.told[each.row][1] for each in relay.workloads)
+        if trial.build < 0 or not self.facts["may_tell"] or not (self.beat % 2 or pressing):
             return
         if self.verdict and self.voters > JUDGES and self.sitting():
             tell(-1, verdict_note(relay.build, relay.stage, self.verdict))
-        counts = [count for name in GROUPS for count in trial.groups[name]]
         whole = (self.beat // 2 + relay.index) % 4 == 0
         cells = [(cell, count) for cell, (count, told) in enumerate(zip(counts, self.told))
                  if count and (whole or count != told)]
@@ -545,8 +547,7 @@
 
     def cap(self, build: int) -> float:
         grace = self.now < self.lowered + self.facts["drain_grace"] and not self.rows[0]
-        told = max(self.told_cap, self.higher_cap) if grace else self.told_cap
-        return told if build == self.build else self.facts["caps"][0]
+        return self.facts["caps"][0] if build != self.build else max(self.told_cap, grace * self.higher_cap)
 
     def on_list(self, kind: str, entries: list[tuple]) -> None:
         if kind == "failed":                     # ask again; a standing watch is not hurt by that
@@ -611,8 +612,7 @@
             self.choice.few = max(self.choice.FEW, 0.99 * self.choice.few)
             self.judge.consider()
             (self.trial.weigh if self.judge.beat % 40 else self.arrange)()   # who went to the end is forgiven
-            if self.judge.beat % 2:
-                self.judge.tell()
+            self.judge.tell()
         elif token == self.WAKE_LIST:
             self.host.watch_list()
         elif token - self.WAKE_LATE in self.known:
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -213,7 +213,7 @@
             story = Story(relays=40, on_votes=needed)
             story.trial()
             judge = story.relay.judge
-            judge.place, judge.verdict, judge.order = 0, policy.BACK, [0, *judge.order]
+            judge.place, judge.verdict, judge.order, judge.beat = 0, policy.BACK, [0, *judge.order], 1
             judge.tell()
             self.assertEqual(sum(to == -1 for to, _ in story.host.of("tell")), told)
 
@@ -223,11 +223,22 @@
         judge = story.relay.judge
         judge.place, story.relay.trial.groups["canary"][0] = 30, 5
         lengths = []
-        for judge.beat in (2, 4, 6, 8, 10):
+        for judge.beat in (3, 5, 7, 9, 11):
             judge.tell()
             lengths.append(len(story.host.of("tell")))
         self.assertEqual(lengths, [4, 4, 4, 8, 8])               # the judges and the next in line
 
+    def test_failures_of_the_canary_are_told_each_half_second(self) -> None:
+        """Guards against a build that turns bad late and is sent back just after the next one is due."""
+        story = Story()
+        story.trial()
+        judge, told = story.relay.judge, []
+        for judge.beat, cell in ((2, 0), (2, 1), (2, 1), (3, 0), (4, 0)):
+            story.relay.trial.groups["canary"][cell] += 1
+            judge.tell()
+            told.append(len(story.host.of("tell")))
+        self.assertEqual(told, [0, 2, 4, 6, 6])
+
     def test_lost_messages_are_no_evidence_for_on(self) -> None:
         for heard, votes in ((0, []), (25, ON)):
             story = Story(relays=40)
