Failures on three units of a build count within two seconds, not only within six

One failing unit's errors could pass that too, so it counts only if three units of the build fail (Judge.judge, wide). Its story fails without it.

--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -66,6 +66,12 @@
     return edges[-1]
 
 
+def gained(pool: list, old: list | None) -> list:
+    """By how much each count of a pool is above that of an older one; all of it if there is none."""
+    return [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*two)]
+            for two in zip(pool, old)] if old else pool
+
+
 class Workload:
     """What the settings say of one, and how long its answers take."""
     mean = deviation = 0.0
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -9,7 +9,7 @@
 
 from .host import Host
 from .notes import Pool, count_notes, read, verdict_note
-from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, Workload, link, median, mix, rank_test
+from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, Workload, gained, link, median, mix, rank_test
 
 SECOND = 10_000
 ABSENT: dict[str, Any] = dict(
@@ -25,7 +25,8 @@
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # served, failed, times in parts of the promise; of each ring
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need
-EARLY_MARGIN, EARLY_EXCESS = 0.015, 4.0          # back early: failures over what the baseline explains
+EARLY_MARGIN, EARLY_EXCESS, BRIEF, WIDE = 0.015, 4.0, 4, 3       # over what the baseline explains, in all, in
+# 6 s and, if so many units of the build have failed of late (no one unit's errors), in so many beats
 SLOWER, UNEVEN, REJECT_AT, LEAST = 1.6, 0.3, 0.01, 20        # medians' ratio, for few units, level, outcomes
 ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 HORIZON, PATIENCE = 3 * SECOND + SECOND // 4, 5 * SECOND      # after the newest listed start; and if thin
@@ -262,9 +263,8 @@
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
-        span = self.facts["exposure_span"]
-        self.taken = [Ring(span, BUCKETS) for _ in relay.workloads]
-        self.tried = defaultdict(lambda: [Ring(span, BUCKETS) for _ in relay.workloads])     # by build
+        self.taken = [Ring(self.facts["exposure_span"], BUCKETS) for _ in relay.workloads]
+        self.tried = defaultdict(lambda: [Ring(ring.span, BUCKETS) for ring in self.taken])  # by build
         self.even = 0.0                          # sent to warm units so far, for a weight of one
         self.answered: dict[int, int] = {}       # key -> build that answered it (one-way roll-outs)
 
@@ -470,15 +470,15 @@
                 self.vote()
 
     def judge(self) -> None:
-        relay, place, pooled = self.relay, self.beat % len(self.past), self.pool()
-        old, self.past[place] = self.past[place] or [[[0] * ROW for _ in rows] for rows in pooled], pooled
-        recent = [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*two)]
-                  for two in zip(pooled, old)]
+        relay, size, pooled = self.relay, len(self.past), self.pool()
+        recent, brief = (gained(pooled, self.past[at % size]) for at in (self.beat, self.beat - BRIEF))
+        self.past[self.beat % size] = pooled
+        wide = sum(unit.build == relay.build and unit.failing > 0.03 for unit in relay.units.values()) >= WIDE
         known = sum(row[0] + row[1] for row in pooled[1]) >= LEAST // 2    # else nothing to be held against
         before, thin = self.verdict, sum(row[0] + row[1] for row in pooled[0]) < LEAST
         heard = sum(relay.now - at < 2 * FRESH for at, _, _ in self.heard.values())
         deaf = self.facts["may_tell"] and 2 * heard + 1 < self.facts["relays"]  # then what is thin was lost
-        if known and (self.fails(*pooled[:2]) or self.fails(recent[0], pooled[1])):
+        if known and any(self.fails(each, pooled[1]) for each in (pooled[0], recent[0], brief[0])[:2 + wide]):
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             known = not thin or (relay.now >= self.due() + PATIENCE and not deaf)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -239,6 +239,24 @@
             told.append(len(story.host.of("tell")))
         self.assertEqual(told, [0, 2, 4, 6, 6])
 
+    def test_failures_on_several_units_count_within_two_seconds_and_one_units_do_not(self) -> None:
+        """Guards against a build that turns bad late, its failures drowned in what it served before."""
+        for failing, votes in ((1, []), (3, BACK)):
+            story = Story(units=8)
+            story.trial(age=60 * SECOND, many=8)
+            judge = story.relay.judge
+            judge.verdict, judge.order = policy.ON, [0, *judge.order]
+            story.relay.on_stage(2, 1, policy.RELEASED, 1.0, 0)
+            story.relay.trial.groups["baseline"][0] = 300
+            for beat in range(14):
+                story.relay.trial.groups["canary"][0] += 80
+                story.beat()
+            story.relay.trial.groups["canary"][1] += 10          # 4 and 1.5% of 960 are above it, of 320 below
+            for number in range(failing):
+                story.relay.units[number].failing = 0.5
+            story.beat()
+            self.assertEqual(story.votes()[-1:], votes)
+
     def test_lost_messages_are_no_evidence_for_on(self) -> None:
         for heard, votes in ((0, []), (25, ON)):
             story = Story(relays=40)
