--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -3,16 +3,14 @@
 from typing import Any, Callable, NamedTuple
 
 from loguru import logger
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from .counters import Counters
+from .kept import AGAIN, Ended, Kept
 
 LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 8 * 1024 * 1024
 WATCH, SLACK, FIRST_WAIT = 20.0, 2.0, 4.0        # seconds: a watch's wait, ours beyond it, and a plain call's
-AGAIN, LONGEST_AGAIN = 0.1, 2.0                  # seconds, after a failed call
 
 
 class Unreadable(Exception):
@@ -170,11 +168,11 @@
         return reply
 
 
-class Caller(Protocol):
+class Caller(Ended):
     """One connection to the agent, one call at a time."""
 
     def __init__(self, discovery: "Discovery") -> None:
-        self.discovery, self.replies, self.code = discovery, Replies(), ""
+        self.discovery, self.replies = discovery, Replies()
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -192,63 +190,43 @@
                     self.end("last")
                 self.discovery.came(self, reply)
         except Unreadable as problem:
-            self.discovery.counters.add("discovery.unreadable")
-            self.end("unreadable", str(problem))
+            self.unreadable(str(problem))
 
-    def end(self, code: str, note: str = "") -> None:
-        if not self.code:
-            self.code = code
-            if note:
-                logger.warning("discovery: {}", note)
-            self.transport.abortConnection()
+    def unreadable(self, problem: str) -> None:
+        self.discovery.counters.add("discovery.unreadable")
+        logger.warning("discovery: {}", problem)
+        self.end("unreadable")
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
         if not self.code:
             for reply in self.replies.ended():
                 self.discovery.came(self, reply)
-        code = self.code or ("closed" if reason.check(ConnectionDone) else "broken")
-        self.discovery.counters.ended("discovery", code, self.discovery.address)
+        self.discovery.counters.ended("discovery", self.why(reason), self.discovery.address)
         self.discovery.lost(self)
 
 
-class Discovery:
+class Discovery(Kept):
     """The whole list once, then a watch that is resumed at once after each answer."""
 
     def __init__(self, reactor: Any, address: str, path: str, counters: Counters,
                  tell: Callable[[News], None]) -> None:
-        self.reactor, self.address, self.path = reactor, address, path
-        self.counters, self.tell = counters, tell
+        super().__init__(reactor, address, counters)
+        self.path, self.tell = path, tell
         self.version: int | None = None          # None: the whole list is asked for
-        self.caller: Caller | None = None
-        self.timer: Any = None                   # of the call that is out, or of the next try
-        self.pause = AGAIN
-        self.stopped = False
-
-    def start(self) -> None:
-        self.timer = None
-        if self.stopped:
-            return
-        host, port = self.address.rsplit(":", 1)
-        endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=SLACK)
-        joined = connectProtocol(endpoint, Caller(self))
-        joined.addCallbacks(self.joined, lambda reason: self.again("refused"))
+
+    def protocol(self) -> Caller:
+        return Caller(self)
 
     def joined(self, caller: Caller) -> None:
         self.caller = caller
-        if not caller.code:
-            self.ask()
+        self.ask()
 
     def ask(self) -> None:
         first = self.version is None
-        path = self.path if first else f"{self.path}?after={self.version}&wait_ms={int(WATCH * 1000)}"
         self.counters.add("discovery.asked")
-        self.timer = self.reactor.callLater(FIRST_WAIT if first else WATCH + SLACK, self.overdue)
-        self.caller.call(path)
-
-    def overdue(self) -> None:
-        self.timer = None
-        if self.caller:
-            self.caller.end("timeout")
+        self.expect(FIRST_WAIT if first else WATCH + SLACK)
+        self.caller.call(self.path if first else
+                         f"{self.path}?after={self.version}&wait_ms={int(WATCH * 1000)}")
 
     def came(self, caller: Caller, reply: Reply) -> None:
         if caller is not self.caller:
@@ -259,37 +237,10 @@
                 raise Unreadable(f"status {reply.status}")
             news = read_news(json.loads(reply.body))
         except (Unreadable, ValueError) as problem:
-            self.counters.add("discovery.unreadable")
             self.version = None                  # what was missed can't be told: the whole list next
-            return caller.end("unreadable", str(problem))
+            return caller.unreadable(str(problem))
         self.counters.add("discovery.answered")
-        self.pause = AGAIN
-        self.version = news.version
+        self.pause, self.version = AGAIN, news.version
         if not caller.code:
             self.ask()                           # before anything else: a watch goes on only for 200 ms
         self.tell(news)
-
-    def lost(self, caller: Caller) -> None:
-        if caller is self.caller:
-            self.caller = None
-            self.quiet()
-            self.again(caller.code)
-
-    def quiet(self) -> None:
-        if self.timer and self.timer.active():
-            self.timer.cancel()
-        self.timer = None
-
-    def again(self, code: str) -> None:
-        """Another connection; soon, and later each time that it fails."""
-        if self.stopped:
-            return
-        self.counters.add(f"discovery.again.{code or 'closed'}")
-        self.timer = self.reactor.callLater(self.pause, self.start)
-        self.pause = min(LONGEST_AGAIN, 2 * self.pause)
-
-    def stop(self) -> None:
-        self.stopped = True
-        self.quiet()
-        if self.caller:
-            self.caller.end("closing")
--- a/tealsail/net/platform.py
+++ b/tealsail/net/platform.py
@@ -4,16 +4,14 @@
 from typing import Any, NamedTuple
 
 from loguru import logger
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from .counters import Counters
+from .kept import AGAIN, Ended, Kept
 
 LONGEST = 8 * 1024
-CONNECT, SILENT = 1.0, 3.5                       # seconds: to connect, and with no sign of life
-AGAIN, LONGEST_AGAIN = 0.1, 2.0                  # seconds, after a connection has ended
+SILENT = 3.5                                     # seconds with no sign of life
 PHASES = {"canary": "on trial", "reverting": "going back", "stable": "released", "reverted": "withdrawn"}
 VERDICTS = {"none": "blank", "on": "go", "hold": "stay", "back": "stop"}
 ERRORS = {"BUSY": "full", "STALE": "moot", "FAILED": "error", "SYNTAX": "error"}
@@ -73,11 +71,11 @@
     return json.dumps(tree | ({"params": params} if params else {}), separators=(",", ":")).encode() + b"\n"
 
 
-class Caller(Protocol):
+class Caller(Ended):
     """One connection; it subscribes first, and calls go behind each other."""
 
     def __init__(self, platform: "Platform") -> None:
-        self.platform, self.held, self.code = platform, b"", ""
+        self.platform, self.held = platform, b""
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -97,57 +95,35 @@
             logger.warning("platform: {}", problem)
             self.end("unreadable")
 
-    def end(self, code: str) -> None:
-        if not self.code:
-            self.code = code
-            self.transport.abortConnection()
-
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
-        code = self.code or ("closed" if reason.check(ConnectionDone) else "broken")
-        self.platform.counters.ended("platform", code, self.platform.address)
+        self.platform.counters.ended("platform", self.why(reason), self.platform.address)
         self.platform.lost(self)
 
 
-class Platform:
+class Platform(Kept):
     """The subscription, kept up, and one vote at a time over the same connection."""
 
     def __init__(self, reactor: Any, address: str, vote_wait: float, counters: Counters,
                  tell: Callable[[State], None], counted: Callable[[str], None]) -> None:
-        self.reactor, self.address, self.vote_wait, self.counters = reactor, address, vote_wait, counters
-        self.tell, self.counted = tell, counted
-        self.caller: Caller | None = None
+        super().__init__(reactor, address, counters)
+        self.vote_wait, self.tell, self.counted = vote_wait, tell, counted
         self.calls = 0
         self.voting: int | None = None           # the call of the vote that is out
         self.vote_timer: Any = None
-        self.timer: Any = None                   # of the next try, or of silence
-        self.pause = AGAIN
-        self.stopped = False
 
-    def start(self) -> None:
-        self.timer = None
-        if self.stopped:
-            return
-        host, port = self.address.rsplit(":", 1)
-        endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=CONNECT)
-        joined = connectProtocol(endpoint, Caller(self))
-        joined.addCallbacks(self.joined, lambda reason: self.again())
+    def protocol(self) -> Caller:
+        return Caller(self)
 
     def joined(self, caller: Caller) -> None:
         self.caller = caller
         self.calls += 1
         self.counters.add("platform.subscribed")
         caller.transport.write(call(self.calls, "subscribe"))
-        self.timer = self.reactor.callLater(SILENT, self.silent)
-
-    def silent(self) -> None:
-        self.timer = None
-        if self.caller:
-            self.caller.end("silent")
+        self.expect(SILENT)
 
     def came(self, what: Answer | Told) -> None:
         self.pause = AGAIN
-        if self.timer and self.timer.active():
-            self.timer.reset(SILENT)
+        self.expect(SILENT)
         if isinstance(what, Told):
             self.counters.add("platform.news" if what.state else "platform.alive")
         elif what.call == self.voting:
@@ -178,21 +154,5 @@
         self.counted(answer)
 
     def lost(self, caller: Caller) -> None:
-        if caller is self.caller:
-            self.caller = None
-            if self.timer and self.timer.active():
-                self.timer.cancel()
-            self.voted("timeout")                # it may have been carried out
-            self.again()
-
-    def again(self) -> None:
-        if not self.stopped:
-            self.timer = self.reactor.callLater(self.pause, self.start)
-            self.pause = min(LONGEST_AGAIN, 2 * self.pause)
-
-    def stop(self) -> None:
-        self.stopped = True
-        if self.timer and self.timer.active():
-            self.timer.cancel()
-        if self.caller:
-            self.caller.end("closing")
+        self.voted("timeout")                    # it may have been carried out
+        super().lost(caller)
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -5,11 +5,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from . import messages
 from .counters import Counters
+from .kept import Ended
 from .messages import Value
 
 USER, DATABASE, LOAD = b"backend", b"store", b"stats"
@@ -30,7 +30,7 @@
         return None
 
 
-class Connection(Protocol):
+class Connection(Ended):
     """One connection to a unit: set up, idle, or with one shot out."""
 
     def __init__(self, pool: "Pool") -> None:
@@ -46,7 +46,6 @@
         self.result: Came | None = None          # of the shot; told with the load report, at ReadyForQuery
         self.stopped: Came | None = None         # what to tell of a shot that is waited for no longer
         self.idle_since = 0.0
-        self.code = ""
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -116,21 +115,14 @@
         if shot:
             shot.end((self.result or otherwise)._replace(load=self.pool.load if self.told else None))
 
-    def end(self, code: str) -> None:
-        """Close it at once; nothing more of it is read."""
-        if not self.code:
-            self.code = code
-            self.transport.abortConnection()
-
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
-        code = self.code or ("closed" if reason.check(ConnectionDone) else "broken")
         self.pool.leave(self)
         if not self.settled:
             self.settled = True
             self.ready.errback(ConnectionError(self.refused or "unreachable"))
         # whether a shot may have run is decided by whether its last byte was written
         self.finish(self.stopped or Came("reset" if self.written else "unreachable"))
-        self.counters.ended("unit", code, self.pool.address)
+        self.counters.ended("unit", self.why(reason), self.pool.address)
 
 
 class Shot:
