SIGHUP has the configuration read again; discovery and the platform move

Kept could hold one address for life (kept.py: the address was read at each try, but nothing changed it, and a new connection would have taken `caller` from a standing one without ending it).

Changed: the file is read again (the environment's EDGE_DISCOVERY is older than it and no longer counts); a file that can't be used gives one line and changes nothing. A move dials the new address while the old connection serves on; only the latest try counts; a vote that is out keeps its old connection until its answer; the whole list is asked for at a new agent.

--- a/tealsail/net/command.py
+++ b/tealsail/net/command.py
@@ -12,7 +12,7 @@
 from .. import __version__
 from .counters import Counters
 from .relay import Relay
-from .start import BadStart, read
+from .start import BadStart, read, read_again
 
 USAGE = """tealsail: a front tier that watches over software updates.
 
@@ -61,12 +61,21 @@
         logger.error("network: {}", formatEvent(event) or event.get("log_failure"))
 
 
+def reload(relay: Relay) -> None:
+    """A file that can't be used changes nothing."""
+    try:
+        relay.assign(read_again(os.environ))
+    except BadStart as problem:
+        logger.error("configuration not taken: {}", " ".join(str(problem).split()))
+
+
 def serve(told: Any) -> int:
-    """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters."""
+    """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters, SIGHUP has the file read again."""
     from twisted.internet import reactor
     globalLogBeginner.beginLoggingTo([network_fault], redirectStandardIO=False)
     try:
         relay = Relay(reactor, told, Counters())
+        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, relay))   # before any client
         relay.start()
     except (ArithmeticError, AttributeError, LookupError, TypeError) as problem:
         raise BadStart(f"the settings can't be used: {type(problem).__name__}: {problem}") from None
--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -213,14 +213,22 @@
         super().__init__(reactor, address, counters)
         self.path, self.tell = path, tell
         self.version: int | None = None          # None: the whole list is asked for
+        self.moved = False                       # and so it is at a new address
 
     def protocol(self) -> Caller:
         return Caller(self)
 
     def joined(self, caller: Caller) -> None:
-        self.caller = caller
+        if self.moved:
+            self.moved, self.version = False, None
         self.ask()
 
+    def move(self, address: str) -> None:
+        """What another agent's version numbers mean is not known: the whole list is asked for there."""
+        if address != self.address:
+            self.moved = True
+        super().move(address)
+
     def ask(self) -> None:
         first = self.version is None
         self.counters.add("discovery.asked")
--- a/tealsail/net/kept.py
+++ b/tealsail/net/kept.py
@@ -26,12 +26,15 @@
 
 
 class Kept:
-    """One connection to an address, made anew after a pause that doubles until something comes."""
+    """One connection to an address, made anew after a pause that doubles until something comes.  After a move
+    the former connection serves on until the one to the new address is up."""
 
     def __init__(self, reactor: Any, address: str, counters: Counters) -> None:
         self.reactor, self.address, self.counters = reactor, address, counters
-        self.caller: Any = None                  # the connection, once it is up
-        self.timer: Any = None                   # of the next try, or of what is waited for
+        self.caller: Any = None                  # the connection that counts, once it is up
+        self.silence: Any = None                 # the timer of what is waited for on it
+        self.retry: Any = None                   # the timer of the next try
+        self.tries, self.trying = 0, False       # only the latest try counts, and whether it is under way
         self.pause = AGAIN
         self.stopped = False
 
@@ -39,42 +42,76 @@
         raise NotImplementedError
 
     def joined(self, caller: Any) -> None:
+        """The connection is up; it counts from now on."""
         raise NotImplementedError
 
+    def outdated(self, caller: Any) -> None:
+        """Another one counts from now on."""
+        caller.end("moved")
+
     def start(self) -> None:
         if not self.stopped:
+            cancel(self.retry)
+            self.tries, self.trying = self.tries + 1, True
             host, port = self.address.rsplit(":", 1)
             endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=CONNECT)
             connectProtocol(endpoint, self.protocol()).addCallbacks(
-                self.joined, lambda reason: self.again("refused"))
+                self.up, self.refused, callbackArgs=(self.tries,), errbackArgs=(self.tries,))
+
+    def up(self, caller: Any, number: int) -> None:
+        if self.stopped or number != self.tries:         # there has been a move, or the end, meanwhile
+            return caller.end("closing" if self.stopped else "moved")
+        self.trying, former = False, self.caller
+        if former:
+            self.outdated(former)
+        self.caller = caller
+        self.joined(caller)
+
+    def refused(self, reason: Failure, number: int) -> None:
+        if number == self.tries:
+            self.trying = False
+            self.again("refused")
+
+    def move(self, address: str) -> None:
+        """From now on the other side is found there."""
+        if address != self.address and not self.stopped:
+            self.address, self.pause = address, AGAIN
+            self.start()
 
     def expect(self, seconds: float) -> None:
         """Without a sign from the other side within that time, the connection ends."""
         self.quiet()
-        self.timer = self.reactor.callLater(seconds, self.overdue)
+        self.silence = self.reactor.callLater(seconds, self.overdue)
 
     def overdue(self) -> None:
         if self.caller:
             self.caller.end("silent")
 
     def quiet(self) -> None:
-        if self.timer and self.timer.active():
-            self.timer.cancel()
+        cancel(self.silence)
 
     def lost(self, caller: Any) -> None:
         if caller is self.caller:
             self.caller = None
-            self.again(caller.code or "closed")
+            self.quiet()
+            if not self.trying:
+                self.again(caller.code or "closed")
 
     def again(self, code: str) -> None:
-        self.quiet()
+        cancel(self.retry)
         if not self.stopped:
             self.counters.add(f"kept.again.{code}")
-            self.timer = self.reactor.callLater(self.pause, self.start)
+            self.retry = self.reactor.callLater(self.pause, self.start)
             self.pause = min(LONGEST_AGAIN, 2 * self.pause)
 
     def stop(self) -> None:
         self.stopped = True
         self.quiet()
+        cancel(self.retry)
         if self.caller:
             self.caller.end("closing")
+
+
+def cancel(timer: Any) -> None:
+    if timer and timer.active():
+        timer.cancel()
--- a/tealsail/net/platform.py
+++ b/tealsail/net/platform.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 
 from .counters import Counters
-from .kept import AGAIN, Ended, Kept
+from .kept import AGAIN, Ended, Kept, cancel
 
 LONGEST = 8 * 1024
 SILENT = 3.5                                     # seconds with no sign of life
@@ -87,7 +87,7 @@
         try:
             for line in lines:
                 if line.strip():
-                    self.platform.came(read(line))
+                    self.platform.came(self, read(line))
             if len(self.held) >= LONGEST:
                 raise Unreadable("a line beyond bounds")
         except Unreadable as problem:
@@ -109,36 +109,43 @@
         self.vote_wait, self.tell, self.counted = vote_wait, tell, counted
         self.calls = 0
         self.voting: int | None = None           # the call of the vote that is out
+        self.ballot: Caller | None = None        # the connection that it was written to
         self.vote_timer: Any = None
 
     def protocol(self) -> Caller:
         return Caller(self)
 
     def joined(self, caller: Caller) -> None:
-        self.caller = caller
         self.calls += 1
         self.counters.add("platform.subscribed")
         caller.transport.write(call(self.calls, "subscribe"))
         self.expect(SILENT)
 
-    def came(self, what: Answer | Told) -> None:
+    def outdated(self, caller: Caller) -> None:
+        """A vote that is out there may still get its answer."""
+        if caller is not self.ballot:
+            super().outdated(caller)
+
+    def came(self, caller: Caller, what: Answer | Told) -> None:
+        if isinstance(what, Answer) and caller is self.ballot and what.call == self.voting:
+            self.voted("ok" if what.state else ERRORS.get(what.error, "timeout"))
+        if caller is not self.caller:            # news comes over the connection that counts
+            return
         self.pause = AGAIN
         self.expect(SILENT)
         if isinstance(what, Told):
             self.counters.add("platform.news" if what.state else "platform.alive")
-        elif what.call == self.voting:
-            self.voted("ok" if what.state else ERRORS.get(what.error, "timeout"))
         if what.state:
             self.tell(what.state)
 
     def vote(self, build: int, stage: int, verdict: str) -> None:
         self.calls += 1
         self.counters.add("platform.votes")
-        if not self.caller or self.caller.code:
-            self.voting = self.calls             # nothing was written: it was not carried out
+        self.voting = self.calls
+        if not self.caller or self.caller.code:  # nothing was written: it was not carried out
             self.reactor.callLater(0, self.voted, "error")
             return
-        self.voting = self.calls
+        self.ballot = self.caller
         self.vote_timer = self.reactor.callLater(self.vote_wait, self.voted, "timeout")
         self.caller.transport.write(call(self.calls, "release.vote", {
             "Revision": build, "Wave": stage, "Decision": VERDICTS[verdict]}))
@@ -146,13 +153,14 @@
     def voted(self, answer: str) -> None:
         if self.voting is None:
             return
-        self.voting = None
-        if self.vote_timer and self.vote_timer.active():
-            self.vote_timer.cancel()
-        self.vote_timer = None
+        caller, self.voting, self.ballot = self.ballot, None, None
+        cancel(self.vote_timer)
         self.counters.add(f"platform.vote.{answer}")
+        if caller and caller is not self.caller:
+            self.outdated(caller)
         self.counted(answer)
 
     def lost(self, caller: Caller) -> None:
-        self.voted("timeout")                    # it may have been carried out
+        if caller is self.ballot:
+            self.voted("timeout")                # it may have been carried out
         super().lost(caller)
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -144,6 +144,13 @@
                     len(self.told.known.entries))
         self.schedule()
 
+    def assign(self, told: Assignment) -> None:
+        """A new configuration: discovery and the platform move; all else stays as at the start."""
+        self.discovery.move(told.discovery)
+        if told.platform:
+            self.platform.move(told.platform)
+        logger.info("configuration discovery={} platform={}", self.discovery.address, self.platform.address)
+
     def take(self, statement: Statement, at: int) -> Deferred[Answer]:
         if statement.workload not in self.facade.workloads:
             raise Unclear("no such workload")
--- a/tealsail/net/start.py
+++ b/tealsail/net/start.py
@@ -45,6 +45,11 @@
         raise BadStart(f"{name}: {problem}") from None
 
 
+def read_again(environment: Mapping[str, str]) -> Assignment:
+    """The file as it is now.  It is newer than what the environment said of discovery at the start."""
+    return read({name: value for name, value in environment.items() if name != "EDGE_DISCOVERY"})
+
+
 def read(environment: Mapping[str, str]) -> Assignment:
     path = environment.get("EDGE_CONFIG")
     if not path:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -224,6 +224,49 @@
         self.wait(0.5)
         self.desk()
 
+    def test_a_new_configuration_moves_discovery_with_the_old_watch_at_work(self) -> None:
+        old = self.discovery(listing(42, True, unit(UNIT)))
+        old.sent()
+        self.relay.assign(told(config(discovery="127.0.0.1:8600")))
+        self.relay.assign(told(config(discovery="127.0.0.1:8700")))          # two in a row: the last counts
+        old.gets(reply(listing(43, False, unit(7002, "s-2"))))
+        self.assertIn(7002, [int(pool.address[-4:]) for pool in self.relay.units.pools.values()])
+        passed = self.reactor.up(8600)
+        self.assertTrue(passed.settle())
+        new = self.reactor.up(8700)
+        self.assertTrue(old.settle())
+        self.assertIn(b"GET /catalog/members HTTP", new.sent())      # the whole list, from another agent
+        new.gets(reply(listing(7, True, unit(7003, "s-3"))))
+        self.assertIn(b"?after=7&", new.sent())
+        self.assertEqual([pool.address for pool in self.relay.units.pools.values()], ["127.0.0.9:7003"])
+        self.wait(1)
+        self.assertEqual((new.closing, self.reactor.dialled(LIST), self.reactor.dialled(8700)), (False, [], []))
+
+    def test_an_old_discovery_that_closes_first_is_not_dialled_again(self) -> None:
+        old = self.discovery(listing(42, True, unit(UNIT)))
+        self.relay.assign(told(config(discovery="127.0.0.1:8600")))
+        old.drop()
+        self.reactor.refuse(8600)                # not there yet
+        self.wait(0.3)
+        self.assertEqual(self.reactor.dialled(LIST), [])
+        self.assertIn(b"GET /catalog/members HTTP", self.reactor.up(8600).sent())
+
+    def test_a_move_of_the_platform_leaves_the_vote_that_is_out_its_answer(self) -> None:
+        old, heard = self.desk(), []
+        self.relay.platform.counted = heard.append
+        self.relay.platform.vote(41, 0, "back")
+        number = json.loads(old.sent())["id"]
+        self.relay.assign(told(config(rollouts={"address": "127.0.0.1:6500", "news": state()})))
+        new = self.reactor.up(6500)
+        self.assertEqual(json.loads(new.sent())["method"], "subscribe")
+        self.news(new, build=42, stands="canary", cap=0.28)
+        self.news(old, build=40)                 # what counts comes over the new one
+        self.assertEqual((self.relay.facade.relay.build, old.closing), (42, False))
+        old.gets(json.dumps({"id": number, "result": state(42, 0, "canary", 0.28)}).encode() + b"\n")
+        self.assertEqual((heard, old.settle(), new.closing), (["ok"], True, False))
+        self.relay.platform.vote(42, 0, "on")
+        self.assertEqual(json.loads(new.sent())["method"], "release.vote")
+
     def test_notes_go_to_peers_and_count_only_from_them(self) -> None:
         self.news(self.desk(), build=42, stands="canary", cap=0.28)
         self.wait(3)
@@ -302,6 +345,11 @@
             process = self.run_it("serve", EDGE_CONFIG=file.name)
             while "serving" not in process.stderr.readline():
                 self.assertIsNone(process.poll())
+            process.send_signal(signal.SIGHUP)
+            self.assertIn("configuration discovery=127.0.0.1:1 ", process.stderr.readline())
+            file.truncate(9)
+            process.send_signal(signal.SIGHUP)
+            self.assertIn("configuration not taken", process.stderr.readline())
         client = socket.create_connection(("127.0.0.1", port), timeout=30)
         client.sendall(OPENING + field(b"Q", b"\0") + asking(wait=20000))
         unit_side.settimeout(30)
