Exposure counts exactly at the window's edge: a cap of one rejects nothing

Checked: a probe of the module alone (all units on trial, cap 1.0, instant answers, 60 and 200 a second, free 1 and 4) rejects 2.6 to 4.8% with nothing wrong. Ruled out: the limit on shots out (probe: one shot out), cold units (all warm). At fault: Gate.allowance counted the whole oldest bucket of shots but none of its invocations (Ring.total(partial=True) against total()), a twentieth of the window.

Changed: each bucket of shots also keeps the most by which the shots of its later part exceed what the invocations of that part allow; a window may begin anywhere in it, so that is what the bucket counts for. The test holds the rule by brute force over all windows at caps 0.3, 0.7, 1.0. Counts of builds gone by are dropped (the table grew with each build).

--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -39,12 +39,34 @@
             self.stamps[stamp % self.size], self.sums[stamp % self.size] = stamp, 0.0
         self.sums[stamp % self.size] += amount
 
-    def total(self, now: int, partial: bool = False) -> float:
-        """Over the last span; the oldest bucket, only partly inside, counts if `partial`."""
-        first = (now - self.span) // self.width + (not partial)
+    def total(self, now: int) -> float:
+        """Over the last span, without the oldest bucket, which is only partly inside."""
+        first = (now - self.span) // self.width + 1
         return sum(amount for stamp, amount in zip(self.stamps, self.sums) if stamp >= first)
 
 
+class Tries(Ring):
+    """Shots that invocations allow.  A window may begin anywhere inside its oldest bucket, so for each bucket
+    it is kept how far the shots of its later part, wherever that begins, exceed what was allowed there."""
+
+    def __init__(self, span: int, buckets: int) -> None:
+        super().__init__(span, buckets)
+        self.tails = [0.0] * self.size
+
+    def add(self, now: int, amount: float = 1) -> None:
+        """A shot, or below zero the part of one that an invocation allows."""
+        stamp = now // self.width
+        tail = self.tails[stamp % self.size] if self.stamps[stamp % self.size] == stamp else 0.0
+        self.tails[stamp % self.size] = max(0.0, tail + amount)
+        super().add(now, max(0.0, amount))
+
+    def most(self, now: int) -> float:
+        """The shots of the last span, over what the invocations of its oldest bucket allow."""
+        first = (now - self.span) // self.width
+        within = self.stamps[first % self.size] == first
+        return self.total(now) + within * self.tails[first % self.size]
+
+
 def rank_test(canary: list[int], baseline: list[int]) -> tuple[float, float]:
     """Mann-Whitney's U of the canary on bucket counts, over its mean, and its variance (ties corrected)."""
     n, m = sum(canary), sum(baseline)
@@ -66,6 +88,20 @@
     return edges[-1]
 
 
+def rank_sums(mine: list[list[int]], others: list[list[int]], edges: tuple[float, ...],
+              least: int) -> tuple[float, float, float, float]:
+    """Over workloads with so many outcomes on both sides: the sums of the rank test, its variance, and the
+    ratio of medians, weighted; and the weight.  A row is served, failed, then buckets."""
+    excess = spread = ratio = weight = 0.0
+    for new, old in zip(mine, others):
+        new, old = new[2:] + [new[1]], old[2:] + [old[1]]
+        if min(sum(new), sum(old)) >= least:
+            more, variance = rank_test(new, old)
+            excess, spread = excess + more, spread + variance
+            ratio, weight = ratio + sum(new) * median(new, edges) / median(old, edges), weight + sum(new)
+    return excess, spread, ratio, weight
+
+
 def gained(pool: list, old: list | None) -> list:
     """By how much each count of a pool is above that of an older one; all of it if there is none."""
     return [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*two)]
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -1,6 +1,5 @@
-"""Every decision of tealsail.  A host (calls: tealsail/host.py) builds one `Relay(host, facts, seed, now)`,
-sets `relay.now` before each event and calls its `on_...` methods.  `facts` is a plain map of settings (names:
-tealsail/settings.py); times are tenths of a ms.  In order: what is tuned, the chain, the judge, the relay."""
+"""Every decision of tealsail.  A host (tealsail/host.py) builds a `Relay(host, facts, seed, now)`, sets `now`
+and calls `on_...`.  `facts` is a plain map (names: tealsail/settings.py); times are tenths of a ms."""
 from collections import defaultdict
 from itertools import islice
 from math import erfc, sqrt
@@ -9,7 +8,8 @@
 
 from .host import Host
 from .notes import Pool, count_notes, read, verdict_note
-from .parts import Chance, Invocation, Ring, Shot, Stage, Unit, Workload, gained, link, median, mix, rank_test
+from .parts import (Chance, Invocation, Ring, Shot, Stage, Tries, Unit, Workload, gained, link, median, mix,
+                    rank_sums)
 
 SECOND = 10_000
 ABSENT: dict[str, Any] = dict(
@@ -66,8 +66,8 @@
         invocation.over |= outcome == "served"
         if not invocation.over:
             self.purse = max(-1.0, self.purse - (not shot.never_ran))
-            go_on = self.purse >= 0 and self.relay.gate.may_repeat(invocation)
-            (self.forward if go_on else self.end)(invocation)
+            again = self.purse >= 0 and self.relay.gate.may_repeat(invocation)
+            (self.forward if again else self.end)(invocation)
 
 
 class Admission(Stage):
@@ -264,7 +264,7 @@
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
         self.taken = [Ring(self.facts["exposure_span"], BUCKETS) for _ in relay.workloads]
-        self.tried = defaultdict(lambda: [Ring(ring.span, BUCKETS) for ring in self.taken])  # by build
+        self.tried = defaultdict(lambda: [Tries(ring.span, BUCKETS) for ring in self.taken])     # by build
         self.even = 0.0                          # sent to warm units so far, for a weight of one
         self.answered: dict[int, int] = {}       # key -> build that answered it (one-way roll-outs)
 
@@ -294,8 +294,8 @@
 
     # No invocation is lost, and nothing is sent for one that is over.
     def answerable(self, invocation: Invocation) -> bool:
-        return (len(invocation.shots) < self.facts["most_shots"] and not invocation.over
-                and self.relay.now < invocation.give_up)
+        few = len(invocation.shots) < self.facts["most_shots"]
+        return few and not invocation.over and self.relay.now < invocation.give_up
 
     # No effect twice: what may have run goes out again, or is rejected, only as its workload allows.
     def may_repeat(self, invocation: Invocation, unit: Unit | None = None) -> bool:
@@ -342,7 +342,7 @@
     def allowance(self, invocation: Invocation, build: int, part: float = 1.0) -> float:
         now, place = self.relay.now, invocation.workload.place
         rows = slice(place, place + 1) if self.facts["exposure_per"] == "class" else slice(None)
-        tried = sum(ring.total(now, partial=True) for ring in self.tried[build][rows])   # counts against us
+        tried = sum(ring.most(now) for ring in self.tried[build][rows])
         taken = sum(ring.total(now) for ring in self.taken[rows])
         return part * (self.facts["free_shots"] + self.relay.cap(build) * taken) - tried
 
@@ -355,13 +355,7 @@
 
 def slower(mine: list[list[int]], others: list[list[int]], margin: float, level: float) -> bool:
     """The rank test, workload by workload, sums pooled; a failure ranks behind every answer."""
-    excess = spread = ratio = weight = 0.0
-    for new, old in zip(mine, others):
-        new, old = new[2:] + [new[1]], old[2:] + [old[1]]
-        if min(sum(new), sum(old)) >= 5:
-            more, variance = rank_test(new, old)
-            excess, spread = excess + more, spread + variance
-            ratio, weight = ratio + sum(new) * median(new, EDGES) / median(old, EDGES), weight + sum(new)
+    excess, spread, ratio, weight = rank_sums(mine, others, EDGES, LEAST // 4)
     return weight >= LEAST and ratio > margin * weight and erfc(excess / sqrt(2 * spread)) / 2 < level
 
 
@@ -570,6 +564,8 @@
         invocation.luck = self.chance.share()
         self.known[number] = invocation
         self.gate.taken[workload].add(self.now)
+        for build, tries in self.gate.tried.items():
+            tries[workload].add(self.now, -self.cap(build))
         self.intake.forward(invocation)
 
     def on_outcome(self, number: int, place: int, outcome: str, over: bool, latency: int,
@@ -626,6 +622,8 @@
         if build != earlier[0]:
             self.trial.new_build(build)
             self.judge.new_build()
+            for each in [each for each in self.gate.tried if each < build]:
+                del self.gate.tried[each]        # a relay outlives many builds
         if (build, stage, phase) != earlier:
             self.since = self.now - age
             self.judge.draw()
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -4,7 +4,7 @@
 
 from tealsail import policy
 from tealsail.notes import verdict_note
-from tealsail.parts import mix
+from tealsail.parts import mix, rank_test
 from tests.fake import HARMLESS, SECOND, Story
 
 BACK, ON = [policy.BACK], [policy.ON]
@@ -121,7 +121,7 @@
             groups = [[chance.randrange(8) + shift for _ in range(chance.randrange(20, 60))]
                       for shift in (1, 0)]
             counts = [[group.count(bucket) for bucket in range(9)] for group in groups]
-            over, variance = policy.rank_test(*counts)
+            over, variance = rank_test(*counts)
             known = mannwhitneyu(*groups, alternative="greater", method="asymptotic", use_continuity=False)
             self.assertAlmostEqual(over + len(groups[0]) * len(groups[1]) / 2, known.statistic)
             self.assertAlmostEqual(policy.erfc(over / policy.sqrt(2 * variance)) / 2, known.pvalue)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 import unittest
 
 from tealsail import policy
+from tealsail.parts import Chance
 from tests.fake import HARMLESS, ONE_SHOT, SECOND, STAMPED, Story
 
 
@@ -140,6 +141,25 @@
         self.assertLessEqual(shots, 1 + 10)
         self.assertGreater(shots, 3)
 
+    def test_no_window_holds_more_wherever_it_begins_and_a_cap_of_one_rejects_nothing(self) -> None:
+        for cap in (0.3, 0.7, 1.0):
+            story, taken, chance = Story(stage_shares=[0.25]), [], Chance(5)
+            story.relay.on_stage(2, 1, policy.ON_TRIAL, cap, 10 * SECOND)
+            story.lists([story.unit(number, 2) for number in range(4)])
+            for _ in range(900):
+                story.later(int(chance.share() * chance.share() * SECOND // 20) + 1)
+                number = story.take()
+                taken.append((story.relay.now, bool(story.sent(number))))
+                if story.sent(number):
+                    story.comes(number, "error" if chance.share() < 0.02 else "served")
+                    taken += [(story.relay.now, None)] * (len(story.sent(number)) - 1)   # a further shot
+            for at, (now, _) in enumerate(taken):
+                window = [sent for when, sent in taken[:at + 1] if when > now - 2 * SECOND]
+                self.assertLessEqual(sum(sent is not False for sent in window),
+                                     1 + cap * sum(sent is not None for sent in window) + 1e-6)
+            share = sum(sent is True for _, sent in taken) / sum(sent is not None for _, sent in taken)
+            self.assertGreater(share, 0.99 * cap)
+
     def test_at_cap_0_and_in_stages_guarded_against_effects_nothing_goes_to_it(self) -> None:
         for cap, guarded in ((0.0, 0), (0.5, 1)):
             story = Story(workloads=(ONE_SHOT,), guarded_stages=guarded)
