Back on failures beyond chance on a third of the units; horizon by the platform's shortest stage

At fault: Judge.fails is the only test of failures, and its margin (4 + 1.5%) is far above what chance gives on thousands of outcomes.

Where `bake` is a second or more nothing changes but the beat and the test on failures.

--- a/tealsail/notes.py
+++ b/tealsail/notes.py
@@ -37,3 +37,9 @@
             if cell < len(self.sums) and count > known.get(cell, 0):
                 self.sums[cell] += count - known.get(cell, 0)
                 known[cell] = count
+
+    def rows(self, own: list[list[int]], workloads: list) -> list[list[list[int]]]:
+        """The sums with one's own counts: group by group, a row for each workload."""
+        told = iter(self.sums)
+        groups = [[mine + next(told) for mine in group] for group in own]
+        return [[group[workload.row] for workload in workloads] for group in groups]
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -1,5 +1,6 @@
 """What the decision module is made of: chance, sums over time, the rank test's sums, what is known of units,
 invocations and their shots, and the links of the chain.  Nothing is decided here."""
+from math import sqrt
 from typing import Any
 
 
@@ -102,6 +103,14 @@
     return excess, spread, ratio, weight
 
 
+def surplus(canary: list[list[int]], baseline: list[list[int]]) -> float:
+    """By how many standard deviations the canary's failures, all workloads', exceed their even share of all."""
+    (n, bad), (m, others) = ([sum(row[at] for row in group) for at in (0, 1)] for group in (canary, baseline))
+    share = (n + bad) / (n + bad + m + others or 1)
+    spread = (bad + others) * share * (1 - share)
+    return (bad - (bad + others) * share) / sqrt(spread) if spread else 0.0
+
+
 def gained(pool: list, old: list | None) -> list:
     """By how much each count of a pool is above that of an older one; all of it if there is none."""
     return [[[max(0, new - past) for new, past in zip(*row)] for row in zip(*two)]
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -9,7 +9,7 @@
 from .host import Host
 from .notes import Pool, count_notes, read, verdict_note
 from .parts import (Chance, Invocation, Ring, Shot, Stage, Tries, Unit, Workload, gained, link, median, mix,
-                    rank_sums)
+                    rank_sums, surplus)
 
 SECOND = 10_000
 ABSENT: dict[str, Any] = dict(
@@ -18,7 +18,7 @@
     exposure_per="all", exposure_span=2 * SECOND, guarded_stages=0, one_way=False, flag_share=1.0,
     may_cancel=False, may_tell=False, may_advise=False, longest_advice=0, list_mode="pushed", most_shots=1,
     warm_keys=False, cold_from=0.25, warm_up=5 * SECOND, fall_multiple=2.0, drain_grace=0,
-    promised=SECOND, effect="one-shot", group="all", memory=0, payoff=1.0)       # these of a workload
+    bake=SECOND, promised=SECOND, effect="one-shot", group="all", memory=0, payoff=1.0)  # of a workload
 ON, BACK, ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = 1, 3, 0, 1, 2, 3      # verdicts of a vote; phases
 NEVER_RAN = {"full", "unreachable", "moot"}      # outcomes that prove that a shot was not run
 GROUPS, EDGES = ("canary", "baseline", "before"), (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
@@ -26,7 +26,8 @@
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need
 EARLY_MARGIN, EARLY_EXCESS, BRIEF, WIDE = 0.015, 4.0, 4, 3       # over what the baseline explains, in all, in
-# 6 s and, if so many units of the build have failed of late (no one unit's errors), in so many beats
+# 6 s and, if so many units of the build have failed of late (no one unit's errors), in so many beats; where
+BROAD, BEYOND = 3, 2.8                           # one in so many has: standard deviations beyond chance
 SLOWER, UNEVEN, REJECT_AT, LEAST = 1.6, 0.3, 0.01, 20        # medians' ratio, for few units, level, outcomes
 ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 HORIZON, PATIENCE = 3 * SECOND + SECOND // 4, 5 * SECOND      # after the newest listed start; and if thin
@@ -35,8 +36,7 @@
 
 class Intake(Stage):
     """Takes invocations and gives each its one final answer, at once where nothing can be sent."""
-    FURTHER = 0.2                                # doubtful further shots an invocation: no storm of repeats
-    purse = 1.0                                  # what many relays start with is not a storm either
+    FURTHER, purse = 0.2, 1.0                    # doubtful further shots an invocation; no storm of repeats
 
     def forward(self, invocation: Invocation) -> None:
         self.purse = min(20.0, self.purse + (0 if invocation.shots else self.FURTHER))
@@ -331,10 +331,9 @@
     def exposed(self, invocation: Invocation, unit: Unit) -> bool:
         relay = self.relay
         forth = self.facts["one_way"] and relay.phase in (ON_TRIAL, RELEASED) and unit.build < relay.build
-        if forth and invocation.key is not None and self.answered.get(invocation.key) == relay.build:
-            return False
-        if not relay.on_trial(unit.build):
-            return True
+        gone = forth and invocation.key is not None and self.answered.get(invocation.key) == relay.build
+        if gone or not relay.on_trial(unit.build):
+            return not gone
         stage = relay.stage if unit.build == relay.build else 0
         guarded = stage < self.facts["guarded_stages"] and invocation.workload.effect != "harmless"
         return not guarded and relay.cap(unit.build) > 0 and self.allowance(invocation, unit.build) >= 1
@@ -421,9 +420,7 @@
             self.busy_until = relay.now + int(max(0.0, crowd) * relay.chance.share() * SECOND)
 
     def pool(self) -> list[list[list[int]]]:
-        told = iter(self.pooled.sums)
-        groups = [[own + next(told) for own in self.relay.trial.groups[name]] for name in GROUPS]
-        return [[group[workload.row] for workload in self.relay.workloads] for group in groups]
+        return self.pooled.rows([self.relay.trial.groups[name] for name in GROUPS], self.relay.workloads)
 
     def fails(self, canary: list[list[int]], baseline: list[list[int]]) -> bool:
         """The crude margin on failures that the baseline does not explain, for each workload and for all."""
@@ -453,7 +450,8 @@
         places = shares[min(relay.stage, len(shares) - 1)] * len(relay.units)
         stale = len(starts) < max(1, LISTED * places)    # what other units show is no evidence for these
         newest = min(max([relay.since, *starts]), relay.since + LAUNCH) + SECOND * (len(starts) < int(places))
-        return HORIZON + (relay.since + 2 * LAUNCH if stale else newest)
+        quick = min(1.0, self.facts["bake"] / SECOND)    # where the platform's times are short, so is this
+        return int(HORIZON * quick) + (relay.since + 2 * LAUNCH if stale else newest)
 
     def consider(self) -> None:
         self.beat, sits = self.beat + 1, self.sitting()
@@ -467,12 +465,15 @@
         relay, size, pooled = self.relay, len(self.past), self.pool()
         recent, brief = (gained(pooled, self.past[at % size]) for at in (self.beat, self.beat - BRIEF))
         self.past[self.beat % size] = pooled
-        wide = sum(unit.build == relay.build and unit.failing > 0.03 for unit in relay.units.values()) >= WIDE
+        seen = [unit.failing for unit in relay.units.values() if unit.build == relay.build]
+        wide, broad = sum(each > 0.03 for each in seen) >= WIDE, BROAD * sum(each > 0.002 for each in seen)
         known = sum(row[0] + row[1] for row in pooled[1]) >= LEAST // 2    # else nothing to be held against
         before, thin = self.verdict, sum(row[0] + row[1] for row in pooled[0]) < LEAST
         heard = sum(relay.now - at < 2 * FRESH for at, _, _ in self.heard.values())
         deaf = self.facts["may_tell"] and 2 * heard + 1 < self.facts["relays"]  # then what is thin was lost
-        if known and any(self.fails(each, pooled[1]) for each in (pooled[0], recent[0], brief[0])[:2 + wide]):
+        # Departure: fewer failures, beyond chance and on a third of its units: a build that turns bad late
+        if known and (any(self.fails(each, pooled[1]) for each in (pooled[0], recent[0], brief[0])[:2 + wide])
+                      or broad > max(len(seen), 8) and surplus(*pooled[:2]) > BEYOND):
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             known = not thin or (relay.now >= self.due() + PATIENCE and not deaf)
@@ -598,7 +599,8 @@
 
     def on_wake(self, token: int) -> None:
         if token == self.WAKE_BEAT:
-            self.host.wake(self.now + SECOND // 2, self.WAKE_BEAT)
+            due, after = self.judge.due(), self.now + SECOND // 2        # no wait is lost at the horizon
+            self.host.wake(due if self.now < due < after else after, self.WAKE_BEAT)
             self.known = {number: each for number, each in self.known.items() if not each.over or each.out()}
             self.patience = max([self.admission.patience(each) for each in self.workloads], default=SECOND)
             self.admission.stuck = sum(unit.out for unit in self.units.values() if not self.choice.fit(unit))
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -257,6 +257,34 @@
             story.beat()
             self.assertEqual(story.votes()[-1:], votes)
 
+    def test_failures_beyond_chance_on_a_third_of_the_units_are_a_back_also_after_a_release(self) -> None:
+        """Guards against a build that turns bad so slowly that the next one is due before the crude margin."""
+        for failing, failed, votes in ((2, 30, []), (4, 30, BACK), (4, 8, [])):
+            story = Story(units=8)
+            story.trial(age=60 * SECOND, many=8)
+            judge = story.relay.judge
+            judge.verdict, judge.order = policy.ON, [0, *judge.order]
+            story.relay.on_stage(2, 1, policy.RELEASED, 1.0, 0)
+            story.relay.trial.groups["baseline"][0] = 1000
+            story.relay.trial.groups["canary"][:2] = 2000, failed
+            for number in range(failing):
+                story.relay.units[number].failing = 0.02
+            story.beat()
+            self.assertEqual(story.votes()[-1:], votes)
+
+    def test_a_platform_with_short_stages_has_a_short_horizon_and_a_beat_falls_on_it(self) -> None:
+        story = Story(bake=SECOND // 2)
+        story.trial(age=SECOND)
+        story.relay.judge.order = [0, *story.relay.judge.order]
+        due = story.relay.judge.due()
+        self.assertEqual(due, story.relay.since + policy.HORIZON // 2)
+        story.relay.now = due - 700
+        story.relay.on_wake(story.relay.WAKE_BEAT)
+        self.assertEqual(story.host.of("wake")[-1], (due, story.relay.WAKE_BEAT))
+        story.relay.now = due
+        story.relay.on_wake(story.relay.WAKE_BEAT)
+        self.assertEqual(story.host.of("wake")[-1], (due + SECOND // 2, story.relay.WAKE_BEAT))
+
     def test_lost_messages_are_no_evidence_for_on(self) -> None:
         for heard, votes in ((0, []), (25, ON)):
             story = Story(relays=40)
