--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -103,12 +103,19 @@
     return excess, spread, ratio, weight
 
 
-def surplus(canary: list[list[int]], baseline: list[list[int]]) -> float:
-    """By how many standard deviations the canary's failures, all workloads', exceed their even share of all."""
-    (n, bad), (m, others) = ([sum(row[at] for row in group) for at in (0, 1)] for group in (canary, baseline))
-    share = (n + bad) / (n + bad + m + others or 1)
-    spread = (bad + others) * share * (1 - share)
-    return (bad - (bad + others) * share) / sqrt(spread) if spread else 0.0
+def beyond(canary: list[list[int]], others: list[list[int]]) -> float:
+    """By how many standard deviations the canary's failures, all rows', exceed their even share of all."""
+    (n, bad), (m, rest) = ([sum(row[at] for row in group) for at in (0, 1)] for group in (canary, others))
+    share = (n + bad) / (n + bad + m + rest or 1)
+    spread = (bad + rest) * share * (1 - share)
+    return (bad - (bad + rest) * share) / sqrt(spread) if spread else 0.0
+
+
+def surplus(pool: list, latest: list) -> float:
+    """Of all the canary's failures over the baseline's, or of its latest over all before, the latter less by
+    as much as the baseline's latest rose."""
+    before = [row for group in gained(pool, latest)[:2] for row in group]
+    return max(beyond(*pool[:2]), beyond(latest[0], before) - max(0.0, beyond(latest[1], before)))
 
 
 def gained(pool: list, old: list | None) -> list:
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -257,9 +257,9 @@
             story.beat()
             self.assertEqual(story.votes()[-1:], votes)
 
-    def test_failures_beyond_chance_on_a_third_of_the_units_are_a_back_also_after_a_release(self) -> None:
+    def test_failures_beyond_chance_on_a_quarter_of_the_units_are_a_back_also_after_a_release(self) -> None:
         """Guards against a build that turns bad so slowly that the next one is due before the crude margin."""
-        for failing, failed, votes in ((2, 30, []), (4, 30, BACK), (4, 8, [])):
+        for failing, failed, votes in ((2, 30, []), (3, 30, BACK), (3, 8, [])):
             story = Story(units=8)
             story.trial(age=60 * SECOND, many=8)
             judge = story.relay.judge
@@ -272,6 +272,25 @@
             story.beat()
             self.assertEqual(story.votes()[-1:], votes)
 
+    def test_failures_that_rise_of_late_are_held_against_all_before_but_not_if_the_baselines_rise_too(self) -> None:
+        for baseline, votes in ((1, BACK), (8, [])):
+            story = Story(units=8)
+            story.trial(age=60 * SECOND, many=5)
+            judge, groups = story.relay.judge, story.relay.trial.groups
+            judge.verdict, judge.order = policy.ON, [0, *judge.order]
+            story.relay.on_stage(2, 1, policy.RELEASED, 1.0, 0)
+            groups["baseline"][:2], groups["canary"][:2] = [1000, 1], [2000, 4]
+            for _ in range(5):
+                story.beat()
+            groups["baseline"][0] += 300
+            groups["canary"][0] += 600
+            groups["baseline"][1] += baseline
+            groups["canary"][1] += 8                             # far below 4 and 1.5%
+            for number in (3, 4, 5):
+                story.relay.units[number].failing = 0.02
+            story.beat()
+            self.assertEqual(story.votes()[-1:], votes)
+
     def test_a_platform_with_short_stages_has_a_short_horizon_and_a_beat_falls_on_it(self) -> None:
         story = Story(bake=SECOND // 2)
         story.trial(age=SECOND)
