Unit answers count only whole and in their order; a kept connection proves itself before a shot

Changed: description, one row of one column, completion, ready, or an error, in no other order; what comes unasked ends the connection and never the answer before it; unreadable or impossible load reports are none. An empty query is answered on a kept connection before a shot is written there; a unit silent to that is out of reach with nothing written. Hostile answers are fed byte by byte and in one piece.

--- a/tealsail/net/messages.py
+++ b/tealsail/net/messages.py
@@ -74,6 +74,10 @@
     text: bytes
 
 
+class Empty(NamedTuple):
+    """EmptyQueryResponse."""
+
+
 class Passed(NamedTuple):
     """Notices and the like: read and passed over."""
 
@@ -149,29 +153,49 @@
 
 
 def from_unit(kind: bytes, body: bytes) -> (
-        Authentication | Status | Ready | Described | Row | Complete | Trouble | Passed):
+        Authentication | Status | Ready | Described | Row | Complete | Trouble | Empty | Passed):
     try:
-        if kind == b"R":
-            return Authentication(*struct.unpack_from(">I", body))
-        if kind == b"S":
-            name, value = strings(body)
-            return Status(name, value)
-        if kind == b"T":
-            return Described(body, *struct.unpack_from(">H", body))
-        if kind == b"D":
-            return Row(body, *struct.unpack_from(">H", body))
-        if kind == b"E":
-            fields = {each[:1]: each[1:] for each in strings(body) if each}
-            return Trouble(fields.get(b"C", b""), fields.get(b"M", b""))
-    except (struct.error, ValueError):
-        raise Unreadable(f"a short message of type {kind!r}") from None
-    if kind == b"Z":
-        return Ready()
-    if kind == b"C":
-        return Complete(body)
-    if kind in (b"K", b"N", b"I", b"A"):
-        return Passed()
-    raise Unreadable(f"a message of type {kind!r}")
+        match kind:
+            case b"R":
+                return Authentication(*struct.unpack(">I", body))
+            case b"S":
+                pair = body.split(b"\0")
+                return Status(*pair[:2]) if len(pair) == 3 and not pair[2] else Passed()     # spoils nothing
+            case b"T":
+                return Described(body, columns(body, 18))
+            case b"D":
+                return Row(body, columns(body))
+            case b"C" if len(strings(body)) == 1:
+                return Complete(body)
+            case b"E":
+                *fields, last = strings(body)
+                codes = {field[:1]: field[1:] for field in fields}
+                if not last and len(codes.get(b"C", b"")) == 5:
+                    return Trouble(codes[b"C"], codes.get(b"M", b""))
+            case b"Z" if body in (b"I", b"T", b"E"):
+                return Ready()
+            case b"I" if not body:
+                return Empty()
+            case b"K" | b"N" | b"A":
+                return Passed()
+    except (struct.error, IndexError, ValueError):
+        pass
+    raise Unreadable(f"a message of type {kind!r} that can't be read")
+
+
+def columns(body: bytes, described: int = 0) -> int:
+    """How many there are, each whole: a name and so many bytes of description, or a length and a value."""
+    count, = struct.unpack_from(">H", body)
+    at = 2
+    for _ in range(count):
+        if described:
+            at = body.index(b"\0", at) + 1 + described
+        else:
+            length, = struct.unpack_from(">i", body, at)
+            at += 4 + (length if length >= 0 else len(body))
+    if at != len(body):
+        raise Unreadable("lengths that don't fit")
+    return count
 
 
 def message(kind: bytes, body: bytes = b"") -> bytes:
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -13,6 +13,7 @@
 from .messages import Value
 
 USER, DATABASE, LOAD = b"backend", b"store", b"stats"
+BEYOND = 1e6                                     # no figure of a load report
 
 
 class Came(NamedTuple):
@@ -23,11 +24,13 @@
 
 
 def load_report(text: bytes) -> dict[str, float] | None:
+    """None: it can't be read."""
     try:
         pairs = (pair.split("=") for pair in text.decode().split(","))
-        return {name: float(figure) for name, figure in pairs}
+        load = {name: float(figure) for name, figure in pairs}
     except ValueError:
         return None
+    return load if all(0 <= figure < BEYOND for figure in load.values()) else None      # no nan either
 
 
 class Connection(Ended):
@@ -38,7 +41,8 @@
         self.splitter = messages.Splitter(typed=True)
         self.ready: Deferred["Connection"] = Deferred()          # set up; fails with the reason as its text
         self.shot: Shot | None = None
-        self.settled = self.told = self.written = False
+        self.check: Shot | None = None           # waits for the answer to an empty query
+        self.settled = self.told = self.written = self.proven = False
         self.refused = ""                        # an error while it is being set up
         self.described: messages.Described | None = None
         self.row: messages.Row | None = None
@@ -69,29 +73,57 @@
     def came(self, what: Any) -> None:
         match what:
             case messages.Status(name, value) if name == LOAD:
-                self.pool.load = load_report(value) or self.pool.load
-                self.told = True
-            case messages.Ready() if not self.settled:
+                load = load_report(value)
+                if load:                         # what can't be read is as good as none
+                    self.pool.load, self.told = load, True
+            case messages.Status() | messages.Passed():
+                pass
+            case _ if not self.settled:
+                self.greeted(what)
+            case _ if self.shot:
+                self.answered(what)
+            case messages.Empty() if self.check and not self.proven:
+                self.proven = True
+            case messages.Ready() if self.proven:
+                check, self.check, self.proven = self.check, None, False
+                check.opened(self)
+            case _:                              # of an earlier answer: what comes next can't be told apart
+                raise messages.Unreadable(f"{type(what).__name__} that nobody asked for")
+
+    def greeted(self, what: Any) -> None:
+        match what:
+            case messages.Ready():
                 self.settled = True
                 self.ready.callback(self)
-            case messages.Ready():
-                self.finish(Came("error"))       # if there was neither a whole row nor an error
-                self.pool.free(self)
-            case messages.Trouble(code, _) if not self.settled:
-                self.refused = "full" if code == b"53300" else "unreachable"
             case messages.Trouble(code, _):
-                self.result = Came("full" if code == b"53300" else "error")
-            case messages.Described():
-                self.described, self.row = what, None
-            case messages.Row():
-                if self.row:
-                    raise messages.Unreadable("a second row")
+                self.refused = "full" if code == b"53300" else "unreachable"
+            case messages.Authentication(0):
+                pass
+            case _:
+                raise messages.Unreadable(f"{type(what).__name__} as a greeting")
+
+    def answered(self, what: Any) -> None:
+        """Row description, one row of one column, completion; or an error; then ready.  In no other order."""
+        match what:
+            case messages.Described(columns=1) if not self.described and not self.result:
+                self.described = what
+            case messages.Row(columns=1) if self.described and not self.row and not self.result:
                 self.row = what
-            case messages.Complete() if self.shot:
-                if self.described and self.row and self.row.columns == self.described.columns == 1:
-                    self.result = Came("served", Value(self.described, self.row, what))
-            case messages.Authentication(kind) if kind:
-                raise messages.Unreadable("a password is asked for")
+            case messages.Complete() if self.row and not self.result:
+                self.result = Came("served", Value(self.described, self.row, what))
+            case messages.Trouble(code, _) if not self.result:
+                self.result = Came("full" if code == b"53300" else "error")
+            case messages.Ready() if self.result:
+                self.finish(self.result)
+                self.pool.free(self)
+            case _:
+                raise messages.Unreadable(f"{type(what).__name__} out of its turn")
+
+    def prove(self, shot: "Shot") -> None:
+        """Before a shot is entrusted to a kept connection: is the other side still there?  What is written
+        to one that it has closed may have run, for all that can be known here."""
+        self.check = shot
+        self.transport.write(messages.query(b""))
 
     def ask(self, shot: "Shot", query: bytes) -> None:
         self.shot, self.written, self.unsent, self.told = shot, False, query, False
@@ -120,6 +152,10 @@
         if not self.settled:
             self.settled = True
             self.ready.errback(ConnectionError(self.refused or "unreachable"))
+        if self.check:
+            check, self.check = self.check, None
+            self.counters.add("units.stale")
+            check.begin()
         # whether a shot may have run is decided by whether its last byte was written
         self.finish(self.stopped or Came("reset" if self.written else "unreachable"))
         self.counters.ended("unit", self.why(reason), self.pool.address)
@@ -134,18 +170,32 @@
         self.done: Deferred[Came] = Deferred()
         self.connection: Connection | None = None
         self.opening: Deferred | None = None
+        self.checked: Any = None                 # the timer of a kept connection's check
         self.over = False
         self.timer = pool.reactor.callLater(wait, self.stop, "timeout")
 
     def begin(self) -> None:
-        self.connection = self.pool.idle_one()
-        if self.connection:
-            return self.write(self.connection)
+        """Over a kept connection, once that has answered; if it ends instead, over the next; or a new one."""
+        self.settle()
+        if self.over:
+            return
+        kept = self.pool.idle_one()
+        if kept:
+            self.checked = self.pool.reactor.callLater(self.pool.units.connect_wait, self.unproven, kept)
+            return kept.prove(self)
         self.opening = self.pool.open()
         self.opening.addCallbacks(self.opened, self.failed)
 
+    def unproven(self, connection: Connection) -> None:
+        """As good as out of reach, and nothing was written."""
+        if connection.check is self:
+            connection.check = None
+            connection.end("unproven")
+            self.end(Came("unreachable"))
+
     def opened(self, connection: Connection) -> None:
         self.opening = None
+        self.settle()
         if self.over:
             self.pool.free(connection)
         elif not self.stands():
@@ -163,6 +213,10 @@
     def write(self, connection: Connection) -> None:
         connection.ask(self, messages.query(self.text()))
 
+    def settle(self) -> None:
+        if self.checked and self.checked.active():
+            self.checked.cancel()
+
     def stop(self, outcome: str) -> None:
         """Stop waiting.  The connection is closed first, so that nothing is out when the next shot begins."""
         if self.over:
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -8,7 +8,7 @@
 
 from .fake import GREETING, IDLE, OPENING, ROW, Reactor, Wire, failure, field
 
-QUERY = field(b"Q", b"text\0")
+QUERY, EMPTY, PROOF = field(b"Q", b"text\0"), field(b"Q", b"\0"), field(b"I", b"") + IDLE
 
 
 class Stories(unittest.TestCase):
@@ -46,29 +46,84 @@
         self.assertEqual((came[0].outcome, messages.whole(came[0].value), came[0].load),
                          ("served", ROW + IDLE, {"inflight": 7.0, "util": 0.61}))
 
-    def test_the_connection_used_last_is_used_first_and_one_shot_at_a_time(self) -> None:
+    def proven(self, wire: Wire) -> bytes:
+        """What is written to a kept connection once it has shown that it is there."""
+        self.assertEqual(wire.sent(), EMPTY)
+        wire.gets(PROOF, piece=1)
+        return wire.sent()
+
+    def test_a_kept_connection_that_is_gone_costs_no_shot(self) -> None:
+        """Guards against shots written to what the unit has closed: for all that is known they may have run."""
         self.shoot(), self.shoot()
         first, second = self.up(), self.up()
         for wire in (first, second):
             wire.sent()
             wire.gets(ROW + IDLE)
-        self.shoot()
-        self.assertEqual((first.sent(), second.sent()), (b"", QUERY))
-        self.shoot()
-        self.assertEqual((first.sent(), self.reactor.dialled(7001)), (QUERY, []))
+        came = self.shoot()
+        self.assertEqual(second.sent(), EMPTY)
+        second.drop()
+        self.assertEqual((self.proven(first), came), (QUERY, []))
+        first.gets(ROW + IDLE)
+        self.assertEqual(came[0].outcome, "served")
+        came = self.shoot()
+        first.sent()
+        first.drop()
+        self.assertTrue(self.up().sent().endswith(QUERY))         # a new one, once none is kept
 
-    def test_a_ready_too_many_makes_no_second_place_in_the_pool(self) -> None:
+    def test_a_unit_that_does_not_even_answer_nothing_is_out_of_reach(self) -> None:
         wire = self.served()
-        wire.gets(IDLE)
+        came = self.shoot()
+        self.reactor.advance(0.25)
+        self.assertEqual((came[0].outcome, wire.settle(), self.reactor.dialled(7001)), ("unreachable", True, []))
+        wire = self.served()
+        came = self.shoot(wait=0.1)
+        self.reactor.advance(0.1)                # no longer waited for before that is known
+        self.reactor.advance(0.2)
+        self.assertEqual((came[0].outcome, wire.settle()), ("moot", True))
+
+    def test_more_than_the_answer_spoils_the_connection_and_not_the_answer(self) -> None:
+        for more in (ROW + IDLE, ROW, IDLE, b"noise\0\0\0", PROOF, failure("XX000")):
+            for later in (False, True):
+                came, wire = self.shoot(), self.up()
+                wire.sent()
+                wire.gets(ROW + IDLE + more * (not later))
+                self.assertEqual(came[0].outcome, "served")
+                further = self.shoot()           # while it is asked whether it is there
+                if later:
+                    self.assertEqual(wire.sent(), EMPTY)
+                    wire.gets(more + PROOF if more != PROOF else b"x" * 9)
+                self.assertTrue(wire.settle())
+                self.assertNotIn(QUERY, wire.sent())
+                other = self.up()
+                self.assertEqual((further, other.sent()[-len(QUERY):]), ([], QUERY))
+                other.drop()
+
+    def test_a_load_report_that_cannot_be_read_spoils_neither_the_answer_nor_the_belief(self) -> None:
+        for report in (b"stats\0util=high\0", b"stats\0util=nan\0", b"stats\0inflight=-1\0", b"stats\0\xff\0",
+                       b"stats", b"a\0b\0c\0", b"stats\0util=1e99\0", b"stats\0\0"):
+            came, wire = self.shoot(), self.up()
+            wire.sent()
+            wire.gets(field(b"S", report) + ROW + IDLE)
+            self.assertEqual((came[0].outcome, came[0].load, wire.closing), ("served", None, False))
+            wire.drop()
+
+    def test_the_connection_used_last_is_used_first_and_one_shot_at_a_time(self) -> None:
         self.shoot(), self.shoot()
-        self.assertEqual((wire.sent(), len(self.reactor.dialled(7001))), (QUERY, 1))
+        first, second = self.up(), self.up()
+        for wire in (first, second):
+            wire.sent()
+            wire.gets(ROW + IDLE)
+        self.shoot()
+        self.assertEqual((first.sent(), self.proven(second)), (b"", QUERY))
+        self.shoot()
+        self.assertEqual((self.proven(first), self.reactor.dialled(7001)), (QUERY, []))
 
     def test_outcomes_by_what_came_back(self) -> None:
         wire = self.served()
         for answer, outcome in ((failure("XX000"), "error"), (failure("53300"), "full"),
-                                (failure("57P03"), "error"), (field(b"C", b"SELECT 0\0"), "error")):
+                                (failure("57P03"), "error")):
             came = self.shoot()
-            wire.sent()
+            self.assertEqual(self.proven(wire), QUERY)
             wire.gets(answer + IDLE)
             self.assertEqual(came[0].outcome, outcome)
 
@@ -125,7 +180,7 @@
         wire = self.up()
         wire.sent()
         self.shoot()
-        self.assertEqual(wire.sent(), QUERY)
+        self.assertEqual(self.proven(wire), QUERY)
 
     def test_idle_connections_end_before_the_unit_would_end_them(self) -> None:
         wire = self.served()
@@ -162,9 +217,12 @@
 
     def test_a_unit_that_talks_nonsense_is_left(self) -> None:
         for nonsense in (field(b"!", b""), b"D\x7f\0\0\0", field(b"D", b""), field(b"R", b"\0\0\0\3"),
-                         field(b"D", b"\0\1") * 2):
+                         field(b"D", b"\0\1") * 2, field(b"C", b"SELECT 0\0") + IDLE, IDLE, PROOF,
+                         ROW[:33] + field(b"D", b"\0\1\0\0\0\3\x9f\x03"), ROW[33:], b"D\xb2\xd0\x5e\0" + bytes(9000),
+                         field(b"T", b"\0\2content\0" + bytes(18)), field(b"D", b"\0\1\xff\xff\xff\xf0"),
+                         field(b"E", b"C\0\0"), field(b"T", b"\0\1" + b"x" * 40)):
             came, wire = self.shoot(), self.up()
             wire.sent()
-            wire.gets(nonsense)
+            wire.gets(nonsense, piece=len(nonsense) if len(came) else 1)
             self.assertTrue(wire.settle())
             self.assertEqual(came[0].outcome, "reset")
