--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -146,6 +146,7 @@
         self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
         self.util, self.queue, self.load_at = 0.0, 0.0, 0
         self.rest_until, self.rest = 0, 0
+        self.missed = 0                          # resets since it last answered
 
 
 class Invocation:
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -240,15 +240,16 @@
         self.relay.admission.shots -= 1
         self.cut_off += 0.1 * ((outcome == "unreachable") - self.cut_off)
         if outcome in ("served", "error"):
-            unit.waiting = unit.met = now
+            unit.waiting, unit.met, unit.missed = now, now, 0
             unit.failing += 0.15 * ((outcome == "error") - unit.failing)
         late = outcome in ("timeout", "cancelled") and latency >= self.relay.admission.patience(workload)
         if outcome == "served" or late:
             times = latency / max(1.0, shot.invocation.size) / workload.mean
             unit.pace += 0.1 * (min(8.0, 8.0 if late else times) - unit.pace)
+        unit.missed += outcome == "reset"        # one alone may be the connection's: a dead unit is met again
         if outcome == "served":
             unit.rest = 0
-        elif outcome in ("unreachable", "reset", "full") or (late and unit.waiting <= shot.sent) \
+        elif outcome in ("unreachable", "full") or unit.missed > 1 or (late and unit.waiting <= shot.sent) \
                 or (outcome == "error" and self.stands_out(unit)):
             unit.rest = min(self.LONGEST_REST, 2 * unit.rest or self.REST)
             unit.rest_until = now + unit.rest    # dead, drained, silent or failing alone: it rests, and goes
