--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -246,10 +246,10 @@
         if outcome == "served" or late:
             times = latency / max(1.0, shot.invocation.size) / workload.mean
             unit.pace += 0.1 * (min(8.0, 8.0 if late else times) - unit.pace)
-        unit.missed += outcome == "reset"        # one alone may be the connection's: a dead unit is met again
+        unit.missed += outcome in ("reset", "unreachable")       # one alone may be the connection's fault
         if outcome == "served":
             unit.rest = 0
-        elif outcome in ("unreachable", "full") or unit.missed > 1 or (late and unit.waiting <= shot.sent) \
+        elif outcome == "full" or unit.missed > 1 or (late and unit.waiting <= shot.sent) \
                 or (outcome == "error" and self.stands_out(unit)):
             unit.rest = min(self.LONGEST_REST, 2 * unit.rest or self.REST)
             unit.rest_until = now + unit.rest    # dead, drained, silent or failing alone: it rests, and goes
@@ -331,10 +331,9 @@
     # Exposure within the cap.
     def exposed(self, invocation: Invocation, unit: Unit) -> bool:
         relay = self.relay
-        forth = self.facts["one_way"] and relay.phase in (ON_TRIAL, RELEASED) and unit.build < relay.build
-        gone = forth and invocation.key is not None and self.answered.get(invocation.key) == relay.build
-        if gone or not relay.on_trial(unit.build):
-            return not gone
+        if not relay.on_trial(unit.build):
+            forth = self.facts["one_way"] and relay.phase in (ON_TRIAL, RELEASED) and unit.build < relay.build
+            return not (forth and invocation.key and self.answered.get(invocation.key) == relay.build)
         stage = relay.stage if unit.build == relay.build else 0
         guarded = stage < self.facts["guarded_stages"] and invocation.workload.effect != "harmless"
         return not guarded and relay.cap(unit.build) > 0 and self.allowance(invocation, unit.build) >= 1
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -5,7 +5,7 @@
 from tealsail import policy
 from tealsail.notes import verdict_note
 from tealsail.parts import mix, rank_test
-from tests.fake import HARMLESS, SECOND, Story
+from tests.fake import HARMLESS, ONE_SHOT, SECOND, Story
 
 BACK, ON = [policy.BACK], [policy.ON]
 
@@ -325,6 +325,7 @@
         self.assertGreater(len(set(story.sent())), policy.Choice.FEW)
         first = story.relay.rows[0][0]
         story.relay.known[story.count].shots[0].unit = first
+        first.missed = 1
         story.comes(story.count, "unreachable")
         self.assertIs(story.relay.rows[0][-1], first)            # what fails gives its place to the next
         story.relay.choice.cut_off, known, strange = 0.9, *story.relay.rows[0][:2]
@@ -345,6 +346,17 @@
 
 
 class Serving(unittest.TestCase):
+    def test_one_reset_rests_no_unit_that_answers_and_a_second_in_a_row_does(self) -> None:
+        """Guards against connections that break everywhere: all units rested, and the rest were overrun."""
+        for outcome in ("reset", "unreachable"):
+            story = Story(units=1, workloads=(ONE_SHOT,))
+            for _ in range(5):
+                story.serve()
+                story.serve(outcome)
+                self.assertTrue(story.relay.choice.fit(story.relay.units[0]))
+            story.comes(story.take(), outcome)
+            self.assertFalse(story.relay.choice.fit(story.relay.units[0]))
+
     def test_a_silent_unit_rests_and_is_tried_again_with_one_shot(self) -> None:
         story = Story(units=2)
         unit, story.relay.admission.cut_at = story.relay.units[0], 1 << 60
