Bad clients are left in two seconds, spoilt words of discovery and the platform at once

A part of a reply of discovery was waited for as long as a watch may take (22 s), a part of a line of the platform 3.5 s; an entry with a spoilt lifecycle counted as draining; `Infinity` and deep nesting were not caught; a build beyond 65535 would have broken every note (notes.py packs 16 bits).

Changed: mute (57P05) after 2 s without anything whole, flood (08P01) beyond 32 waiting queries, strict fields, ids at work are errors, connections that never asked make room first; bounds on what is listed and told, and 0.5 and 1 s for the rest of what has begun.

Simulated clients and units.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -1,6 +1,6 @@
 """Clients: their connections, what comes over them, and the answers in the order of the queries."""
 from collections import deque
-from typing import Callable, NamedTuple, Union
+from typing import Any, Callable, NamedTuple, Union
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
@@ -12,6 +12,8 @@
 from .messages import Value
 
 READ_AHEAD, EACH = 64 * 1024, 256                # bytes held of one connection, then reading rests; for each
+MOST_QUERIES = 32                                # that wait in one connection; no client in order asks so much
+SWEEP, MUTE = 0.25, 20_000                       # seconds; tenths of a ms until something whole must have come
 
 
 class Rejected(NamedTuple):
@@ -25,6 +27,7 @@
 
 Answer = Union[Value, Rejected, Forfeited]
 REJECTED, FORFEITED, FULL, FORM, FOREIGN, LOST = "53300", "58000", "53300", "42601", "0A000", "08P01"
+MUTED = "57P05"                                  # idle_session_timeout
 
 
 def encoded(answer: Answer) -> bytes:
@@ -67,6 +70,8 @@
         self.skipping = self.working = self.clogged = self.deaf = self.resting = False
         self.held = 0                            # bytes of the queue
         self.idle_since = clients.clock()
+        self.queries, self.asked = 0, False      # waiting in the queue; whether one was ever whole
+        self.half_since: int | None = None       # half of a message has come, and the last whole one is so old
         self.code, self.note = "", ""
 
     def connectionMade(self) -> None:
@@ -80,8 +85,10 @@
             return
         self.counters.add("clients.bytes_in", len(data))
         self.splitter.feed(data)
+        half, self.half_since = self.half_since, None
         try:
             for kind, body in self.splitter:
+                half = None
                 if self.splitter.typed:
                     self.came(messages.from_client(kind, body))
                 else:
@@ -91,6 +98,8 @@
         except messages.Unreadable as problem:   # what came before it still gets its answers
             self.counters.add("clients.unreadable")
             self.hold(Ending("unreadable", messages.trouble(LOST, str(problem), fatal=True), str(problem)))
+        if self.splitter.held:
+            self.half_since = half or self.clients.clock()
         self.next()
 
     def opened(self, first: messages.Startup | messages.Encryption | messages.Cancel) -> None:
@@ -118,7 +127,17 @@
                 self.counters.add("clients.foreign")
                 self.hold(messages.trouble(FOREIGN, "simple queries only"))
             case messages.Query(text) if not self.skipping:
+                self.asked = True
                 self.hold(Asked(text, self.clients.clock()))
+                self.queries += 1
+                if self.queries > MOST_QUERIES:
+                    self.flooded()
+
+    def flooded(self) -> None:
+        """So many commands at once: none that waits is begun, and the one at hand is the last."""
+        self.queue.clear()
+        self.held = 0
+        self.hold(Ending("flood", messages.trouble(LOST, "too many commands at once", fatal=True)))
 
     def hold(self, what: Asked | bytes | Ending) -> None:
         self.queue.append(what)
@@ -141,6 +160,7 @@
                 self.transport.resumeProducing()
             match first:
                 case Asked(text, at):
+                    self.queries -= 1
                     self.answer(text, at)
                 case Ending(code, last, note):
                     self.end(code, last, note)
@@ -187,6 +207,11 @@
     def idle(self) -> bool:
         return not self.waiting and not self.queue and not self.code
 
+    def mute(self, now: int) -> bool:
+        """Nothing whole has come for too long: no opening, no query ever, or half of a message."""
+        since = self.half_since or (now if self.asked else self.idle_since)
+        return self.idle() and now - since > MUTE
+
     def end(self, code: str, last: bytes = b"", note: str = "") -> None:
         if not self.code:
             self.code, self.note = code, note
@@ -215,22 +240,35 @@
     """All clients.  `take` starts an invocation; its Deferred is cancelled when the client has gone."""
     noisy = False
 
-    def __init__(self, take: Callable[[statements.Statement, int], Deferred[Answer]],
+    def __init__(self, reactor: Any, take: Callable[[statements.Statement, int], Deferred[Answer]],
                  clock: Callable[[], int], counters: Counters, most: int) -> None:
-        self.take, self.clock, self.counters, self.most = take, clock, counters, most
+        self.reactor, self.take, self.clock, self.counters, self.most = reactor, take, clock, counters, most
         self.connections: dict[Client, None] = {}
         self.closing = False
+        self.sweeping = reactor.callLater(SWEEP, self.sweep)
+
+    def sweep(self) -> None:
+        """Connections that say nothing, or never end what they say, are not kept."""
+        now = self.clock()
+        for client in [each for each in self.connections if each.mute(now)]:
+            client.end("mute", messages.trouble(MUTED, "nothing whole has come", fatal=True))
+        self.sweeping = self.reactor.callLater(SWEEP, self.sweep)
+
+    def stop_sweeping(self) -> None:
+        if self.sweeping.active():
+            self.sweeping.cancel()
 
     def buildProtocol(self, addr: object) -> Client:
         return Client(self)
 
     def enter(self, client: Client) -> bool:
-        """Whether there is room; of the idle connections, the longest idle one makes room."""
+        """Whether there is room; of the idle connections one that never asked makes room, or else the longest
+        idle one."""
         self.connections[client] = None
         if len(self.connections) <= self.most:
             return True
         longest = min((each for each in self.connections if each is not client and each.idle()),
-                      key=lambda each: each.idle_since, default=None)
+                      key=lambda each: (each.asked, each.idle_since), default=None)
         if longest:
             longest.end("no_room")
         return longest is not None
--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -11,6 +11,8 @@
 
 LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 8 * 1024 * 1024
 WATCH, SLACK, FIRST_WAIT = 20.0, 2.0, 4.0        # seconds: a watch's wait, ours beyond it, and a plain call's
+PART = 1.0                                       # seconds for the rest of a reply that has begun
+STATES = ("ready", "draining", "gone")
 
 
 class Unreadable(Exception):
@@ -48,9 +50,14 @@
                          str(each.get("lifecycle", "ready")), float(each.get("weight", 1)),
                          float(each.get("startedAtMs", 0)), int(each.get("build", 0)))
                    for each in tree["instances"]]
-        return News(int(tree["generation"]), bool(tree.get("reset", True)), entries)
-    except (KeyError, TypeError, ValueError, AttributeError) as problem:
+        news = News(int(tree["generation"]), bool(tree.get("reset", True)), entries)
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
         raise Unreadable(f"a list that can't be read: {type(problem).__name__} {problem}") from None
+    for each in entries:
+        if not (each.state in STATES and 0 <= each.weight < 1e6 and 0 <= each.started < 1e15
+                and 0 <= each.build < 1 << 16 and abs(each.cell) < 1 << 31):     # no nan either
+            raise Unreadable(f"an entry beyond bounds: {each.id[:40]!r}")
+    return news
 
 
 def address(text: str) -> str:
@@ -77,6 +84,9 @@
             pass
         return replies
 
+    def begun(self) -> bool:
+        return bool(self.status or self.held)
+
     def ended(self) -> list[Reply]:
         """The stream has ended: a body without a length is whole now."""
         if self.status and self.length is None and not self.chunked:
@@ -189,6 +199,8 @@
                 if reply.last:
                     self.end("last")
                 self.discovery.came(self, reply)
+            if self.replies.begun() and self is self.discovery.caller and not self.code:
+                self.discovery.expect(PART)      # not a watch's wait: this is no pause of an agent in order
         except Unreadable as problem:
             self.unreadable(str(problem))
 
@@ -244,7 +256,7 @@
             if reply.status != 200:
                 raise Unreadable(f"status {reply.status}")
             news = read_news(json.loads(reply.body))
-        except (Unreadable, ValueError) as problem:
+        except (Unreadable, ValueError, RecursionError) as problem:
             self.version = None                  # what was missed can't be told: the whole list next
             return caller.unreadable(str(problem))
         self.counters.add("discovery.answered")
--- a/tealsail/net/platform.py
+++ b/tealsail/net/platform.py
@@ -11,7 +11,7 @@
 from .kept import AGAIN, Ended, Kept, cancel
 
 LONGEST = 8 * 1024
-SILENT = 3.5                                     # seconds with no sign of life
+SILENT, PART = 3.5, 0.5                          # seconds with no sign of life; for the rest of a line
 PHASES = {"canary": "on trial", "reverting": "going back", "stable": "released", "reverted": "withdrawn"}
 VERDICTS = {"none": "blank", "on": "go", "hold": "stay", "back": "stop"}
 ERRORS = {"BUSY": "full", "STALE": "moot", "FAILED": "error", "SYNTAX": "error"}
@@ -44,16 +44,20 @@
 
 def read_state(tree: Any) -> State:
     try:
-        return State(int(tree["Revision"]), int(tree["Wave"]), PHASES[tree["State"]],
-                     float(tree["MaxShare"]), float(tree.get("AgeMs", 0)))
-    except (KeyError, TypeError, ValueError, AttributeError) as problem:
+        state = State(int(tree["Revision"]), int(tree["Wave"]), PHASES[tree["State"]],
+                      float(tree["MaxShare"]), float(tree.get("AgeMs", 0)))
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
         raise Unreadable(f"no state: {type(problem).__name__} {problem}") from None
+    if not (0 <= state.build < 1 << 16 and 0 <= state.stage < 256 and 0 <= state.cap <= 1
+            and 0 <= state.age < 1e12):          # what notes have room for; no nan either
+        raise Unreadable("no state: beyond bounds")
+    return state
 
 
 def read(line: bytes) -> Answer | Told:
     try:
         tree = json.loads(line)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise Unreadable("not JSON") from None
     if not isinstance(tree, dict):
         raise Unreadable("not an object")
@@ -90,6 +94,8 @@
                     self.platform.came(self, read(line))
             if len(self.held) >= LONGEST:
                 raise Unreadable("a line beyond bounds")
+            if self.held and self is self.platform.caller:
+                self.platform.expect(PART)       # what began must end soon
         except Unreadable as problem:
             self.platform.counters.add("platform.unreadable")
             logger.warning("platform: {}", problem)
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from loguru import logger
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from .. import settings
@@ -20,7 +20,7 @@
 
 PATH = "/catalog/members"
 SPARE, FEWEST = 64, 64                           # descriptors for all but clients and units; at least
-STATES = {"ready": "open", "draining": "draining", "gone": "gone"}
+OPEN = {"ready": "open"}                         # other states keep their names
 LINGER, LAST = 0.5, 0.05                         # seconds after SIGTERM: clients still come; looks at the end
 TENTHS = 10_000                                  # in a second
 
@@ -42,7 +42,13 @@
             statement.workload, statement.customer, statement.key, at + settings.tenths(statement.wait),
             repeat=statement.repeat)
         relay.serving[self.number] = self
-        self.follow(step)
+        relay.ids.add(statement.id)
+        try:
+            self.follow(step)
+        except Exception:                        # a fault of ours costs this invocation alone
+            relay.fault(Failure())
+            self.end(Forfeited())
+            self.forget()
 
     def follow(self, step: Step) -> None:
         match step:
@@ -97,6 +103,7 @@
     def forget(self) -> None:
         if self.over and not self.shots:
             self.relay.serving.pop(self.number, None)
+            self.relay.ids.discard(self.statement.id)
 
 
 class Relay:
@@ -110,7 +117,7 @@
         room = max(FEWEST, told.sockets - SPARE) // 2
         self.units = Units(reactor, self.counters, facts.get("connect_wait", TENTHS) / TENTHS,
                            facts.get("idle_time", 30 * TENTHS) / TENTHS, room)
-        self.clients = Clients(self.take, self.clock, self.counters, room)
+        self.clients = Clients(reactor, self.take, self.clock, self.counters, room)
         self.discovery = Discovery(reactor, told.discovery, PATH, self.counters, self.listed)
         self.platform = Platform(reactor, told.platform, facts.get("vote_wait", TENTHS) / TENTHS,
                                  self.counters, self.stood, self.counted)
@@ -118,6 +125,7 @@
         self.load_fields = facts.get("load_fields", [])
         self.zones = {name: place for place, name in enumerate(facts.get("zones", []))}
         self.serving: dict[int, Serving] = {}
+        self.ids: set[bytes] = set()             # of those that are being served
         self.ports: list[Any] = []
         self.timer: Any = None
         self.stopped: Deferred[None] | None = None
@@ -154,11 +162,9 @@
     def take(self, statement: Statement, at: int) -> Deferred[Answer]:
         if statement.workload not in self.facade.workloads:
             raise Unclear("no such workload")
-        try:
-            answer = Serving(self, statement, at).answer
-        except Exception:                        # a fault of ours costs this invocation alone
-            self.fault(Failure())
-            return succeed(Forfeited())
+        if statement.id in self.ids:             # else units could not tell the two apart
+            raise Unclear("the id of an open invocation")
+        answer = Serving(self, statement, at).answer
         self.schedule()
         return answer
 
@@ -180,7 +186,7 @@
         self.schedule()
 
     def entry(self, entry: Entry) -> Listed:
-        return Listed(number_of(entry.id), entry.build, STATES.get(entry.state, "draining"),
+        return Listed(number_of(entry.id), entry.build, OPEN.get(entry.state, entry.state),
                       self.zones.get(entry.zone, 0), entry.cell, entry.weight, settings.tenths(entry.started))
 
     def stood(self, state: State) -> None:
@@ -236,6 +242,7 @@
     def leave(self) -> None:
         for port in self.ports:
             port.stopListening()
+        self.clients.stop_sweeping()
         self.clients.close()
         self.finish()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,7 +6,7 @@
 from tealsail.net import clients, messages
 from tealsail.net.counters import Counters
 
-from .fake import GREETING, IDLE, OPENING, Wire, asking, field
+from .fake import GREETING, IDLE, OPENING, Reactor, Wire, asking, field
 
 VALUE = messages.Value(messages.Described(b"\0\1x", 1), messages.Row(b"\0\1y", 1), messages.Complete(b"z\0"))
 EMPTY = field(b"Q", b"\0")
@@ -17,7 +17,9 @@
         self.taken: list[Deferred] = []
         self.left: list[int] = []
         self.counters = Counters()
-        self.clients = clients.Clients(self.take, lambda: 70, self.counters, 3)
+        self.reactor = Reactor()
+        self.clients = clients.Clients(self.reactor, self.take, lambda: round(self.reactor.seconds() * 10_000),
+                                       self.counters, 3)
 
     def take(self, statement: object, at: int) -> Deferred:
         place = len(self.taken)
@@ -42,6 +44,57 @@
         sent = wire.sent()
         self.assertTrue(sent.startswith(GREETING[:9]) and sent.endswith(IDLE + field(b"I", b"") + IDLE))
 
+    def wait(self, seconds: float) -> None:
+        for _ in range(round(seconds * 10)):
+            self.reactor.advance(0.1)
+
+    def test_who_says_nothing_whole_is_told_so_and_left_within_three_seconds(self) -> None:
+        """Guards against silent connections by hundreds, and lines that never end."""
+        silent, greeted, half = self.client(opened=False), self.client(), self.client()
+        half.gets(asking()[:9])
+        self.wait(2.5)
+        for wire in (silent, greeted, half):
+            self.assertIn(b"C57P05\0", wire.sent())
+            self.assertTrue(wire.settle())
+        dribbling = self.client()
+        dribbling.gets(asking() + field(b"Q", bytes(3000))[:5])
+        self.taken[0].callback(VALUE)
+        for _ in range(25):
+            self.wait(0.1)
+            dribbling.gets(b"x")
+        self.assertTrue(dribbling.settle())
+        self.assertEqual(self.codes(), ["mute"])
+
+    def test_who_asked_once_may_stay_and_take_its_time_for_a_query_in_pieces(self) -> None:
+        wire = self.client()
+        wire.gets(asking())
+        self.wait(4)
+        self.taken[0].callback(VALUE)
+        self.wait(60)
+        wire.gets(asking()[:20])
+        self.wait(1.5)
+        wire.gets(asking()[20:])
+        self.assertEqual((wire.closing, len(self.taken)), (False, 2))
+
+    def test_hundreds_of_commands_at_once_end_with_the_one_at_hand(self) -> None:
+        for piece in (7, 1 << 20):
+            wire = self.client()
+            wire.gets(asking() * 300, piece=piece)
+            wire.gets(asking())
+            if piece == 7:
+                self.taken[0].callback(VALUE)
+            sent = wire.sent()
+            self.assertTrue(sent.startswith(messages.whole(VALUE)) == (piece == 7) and b"C08P01\0" in sent)
+            self.assertTrue(wire.settle())
+        self.assertEqual((len(self.taken), self.codes()), (1, ["flood"]))
+
+    def test_who_never_asked_makes_room_first(self) -> None:
+        old, new = self.client(), self.client()
+        old.gets(EMPTY)
+        other = self.client()
+        self.client()
+        self.assertEqual([wire.closing for wire in (old, new, other)], [False, True, False])
+
     def test_queries_one_behind_another_are_answered_in_their_order(self) -> None:
         wire = self.client(opened=False)
         wire.gets(OPENING + asking() + EMPTY + field(b"Q", b"SET x = 1\0") + asking())
@@ -119,11 +172,11 @@
     def test_answers_that_nobody_reads_do_not_pile_up(self) -> None:
         wire = self.client()
         wire.producer.pauseProducing()
-        wire.gets(EMPTY * 400)
+        wire.gets(field(b"Q", b" " * 4000 + b"\0") * 20)
         self.assertEqual(wire.sent(), b"")
         self.assertEqual(wire.producerState, "paused")
         wire.producer.resumeProducing()
-        self.assertEqual(wire.sent(), (field(b"I", b"") + IDLE) * 400)
+        self.assertEqual(wire.sent(), (field(b"I", b"") + IDLE) * 20)
         self.assertEqual(wire.producerState, "producing")
 
     def test_at_the_end_idle_connections_close_and_busy_ones_with_their_last_answer(self) -> None:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -71,7 +71,10 @@
         for text in (b"", b"SELECT 1", b"DROP TABLE kv /* id=1,c=a,d=4 */", good + b"x", good[:-2],
                      good.replace(b"id=", b"ib="), good.replace(b"d=480", b"d=x"), good.replace(b"c=", b"q="),
                      good.replace(b"d=480", b"d=nan"), good.replace(b"d=480", b"d=-1"),
-                     good.replace(b"c=basket", b"c=\xff"), good.replace(b",t=acme", b",t"), garbage(5, 200)):
+                     good.replace(b"c=basket", b"c=\xff"),
+                     good.replace(b"d=480", b"d=4_80"), good.replace(b"d=480", b"d=1e2"), good.replace(b"d=", b"d=1,d="),
+                     good.replace(b"id=9b1f", b"id="), good.replace(b"id=9b1f", b"id=" + b"9" * 65),
+                     INSERT.replace(b"'\\x", b"'\\y"), good.replace(b",t=acme", b",t"), garbage(5, 200)):
             self.assertRaises(statements.Unclear, statements.read, text)
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -282,6 +282,44 @@
         self.assertEqual(list(self.relay.facade.relay.judge.heard), [1])
         self.assertEqual(self.relay.counters.counts["peers.dropped"], 2)
 
+    def test_the_id_of_an_open_invocation_is_an_error_until_that_is_answered(self) -> None:
+        first, second = self.client(asking()), self.client(asking())
+        self.assertIn(b"C42601\0", second.sent())
+        wire = self.unit()
+        wire.sent()
+        wire.gets(ROW + IDLE)
+        self.assertEqual((first.sent(), self.relay.ids), (ROW + IDLE, set()))
+        second.gets(asking())
+        self.assertEqual(second.sent(), b"")
+
+    def test_spoilt_words_of_discovery_and_the_platform_change_nothing_and_are_asked_for_anew(self) -> None:
+        for spoilt in (unit(7002, "s-2") | {"lifecycle": "r#ady"}, unit(7002, "s-2") | {"weight": float("nan")},
+                       unit(7002, "s-2") | {"build": 1e999}, unit(7002, "s-2") | {"startedAtMs": -5}):
+            wire = self.discovery(listing(50, True, spoilt))
+            self.assertTrue(wire.settle())
+            self.assertEqual(len(self.relay.units.pools), 1)
+            self.relay.discovery.pause = 0.1
+            self.wait(0.2)
+        wire = self.reactor.up(LIST)
+        wire.gets(b"[" * 9000)                   # no head, and no end of it
+        self.wait(1.1)
+        self.assertTrue(wire.settle())           # a part alone is not waited for as for a watch
+        self.wait(0.3)
+        wire = self.reactor.up(LIST)
+        wire.gets(reply(listing(51, True, unit(UNIT)))[:-4])
+        self.wait(1.1)
+        self.assertTrue(wire.settle())
+        for line in (b'{"method":"stage","params":%s}\n' % json.dumps(state(build=70000)).encode(),
+                     b'{"method":"stage","params":%s}\n' % json.dumps(state(cap=float("nan"))).encode(),
+                     b"[" * 8000 + b"\n", b"\xff\xfe{}\n", b'{"method":"pi'):
+            self.relay.platform.pause = 0.1
+            wire = self.desk()
+            wire.gets(line)
+            self.wait(0.6)
+            self.assertTrue(wire.settle(), line)
+            self.wait(0.2)
+        self.assertEqual(self.relay.facade.relay.build, 41)
+
     def test_a_fault_costs_that_invocation_alone(self) -> None:
         self.relay.units.shoot = lambda *what: 1 / 0
         client = self.client(asking())
