--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -146,7 +146,9 @@
         self.pace, self.failing = 1.0, 0.0       # its latencies over the workload's, errors among its answers
         self.util, self.queue, self.load_at = 0.0, 0.0, 0
         self.rest_until, self.rest = 0, 0
-        self.missed = 0                          # resets since it last answered
+        # shots that broke off or found no connection since it last answered: one alone may be a connection's
+        # fault (all units rested where connections broke everywhere); one that took long counts twice
+        self.missed = 0
 
 
 class Invocation:
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -246,7 +246,7 @@
         if outcome == "served" or late:
             times = latency / max(1.0, shot.invocation.size) / workload.mean
             unit.pace += 0.1 * (min(8.0, 8.0 if late else times) - unit.pace)
-        unit.missed += outcome in ("reset", "unreachable")       # one alone may be the connection's fault
+        unit.missed += (outcome in ("reset", "unreachable")) * (1 + (latency > SECOND // 10))
         if outcome == "served":
             unit.rest = 0
         elif outcome == "full" or unit.missed > 1 or (late and unit.waiting <= shot.sent) \
@@ -477,7 +477,7 @@
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             known = not thin or (relay.now >= self.due() + PATIENCE and not deaf)
-            self.verdict = BACK if self.worse(pooled, recent) else ON if known else 0
+            self.verdict = BACK if self.worse(pooled, recent) else ON * known
         if self.verdict != before:
             relay.host.log(f"verdict {self.verdict} on build {relay.build} stage {relay.stage}:" + "".join(
                 f" {row[0]}-{row[1]}@{median(row[2:], EDGES):.2f}" for rows in pooled for row in rows))
