--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -13,7 +13,9 @@
 
 READ_AHEAD, EACH = 64 * 1024, 256                # bytes held of one connection, then reading rests; for each
 MOST_QUERIES = 32                                # that wait in one connection; no client in order asks so much
-SWEEP, MUTE = 0.25, 20_000                       # seconds; tenths of a ms until something whole must have come
+SWEEP, MUTE, FIRST = 0.1, 20_000, 5_000          # seconds; tenths of a ms until something whole must have come,
+# and until a first query is late
+CROWD, UNUSED = 0.25, 3_000                      # so full, idle connections end; after so long
 
 
 class Rejected(NamedTuple):
@@ -27,7 +29,6 @@
 
 Answer = Union[Value, Rejected, Forfeited]
 REJECTED, FORFEITED, FULL, FORM, FOREIGN, LOST = "53300", "58000", "53300", "42601", "0A000", "08P01"
-MUTED = "57P05"                                  # idle_session_timeout
 
 
 def encoded(answer: Answer) -> bytes:
@@ -248,10 +249,15 @@
         self.sweeping = reactor.callLater(SWEEP, self.sweep)
 
     def sweep(self) -> None:
-        """Connections that say nothing, or never end what they say, are not kept."""
-        now = self.clock()
-        for client in [each for each in self.connections if each.mute(now)]:
-            client.end("mute", messages.trouble(MUTED, "nothing whole has come", fatal=True))
+        """Connections that say nothing, or never end what they say, are not kept; idle ones only while there
+        are few: clients may hold so many unused that none is left for the next invocation.  No error is sent,
+        which a query on its way would take for its answer."""
+        now, crowded = self.clock(), len(self.connections) > self.most * CROWD
+        for client in list(self.connections):
+            if client.mute(now):
+                client.end("mute")
+            elif crowded and client.idle() and not client.half_since and now - client.idle_since > UNUSED:
+                client.end("crowded")
         self.sweeping = self.reactor.callLater(SWEEP, self.sweep)
 
     def stop_sweeping(self) -> None:
@@ -262,13 +268,15 @@
         return Client(self)
 
     def enter(self, client: Client) -> bool:
-        """Whether there is room; of the idle connections one that never asked makes room, or else the longest
-        idle one."""
+        """Whether there is room; of the idle connections one that should have asked by now makes room, or else
+        the longest idle one.  One that is new is about to ask: its query may have come already, unread."""
+        now = self.clock()
         self.connections[client] = None
         if len(self.connections) <= self.most:
             return True
         longest = min((each for each in self.connections if each is not client and each.idle()),
-                      key=lambda each: (each.asked, each.idle_since), default=None)
+                      key=lambda each: (bool(each.half_since), each.asked or now - each.idle_since < FIRST,
+                                        each.idle_since), default=None)
         if longest:
             longest.end("no_room")
         return longest is not None
