--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -12,9 +12,9 @@
 from .messages import Value
 
 READ_AHEAD, EACH = 64 * 1024, 256                # bytes held of one connection, then reading rests; for each
-MOST_QUERIES = 32                                # that wait in one connection; no client in order asks so much
-SWEEP, MUTE, FIRST = 0.1, 20_000, 5_000          # seconds; tenths of a ms until something whole must have come,
-# and until a first query is late
+MOST_QUERIES = 32                                # that wait in one connection: no client in order asks so much
+SWEEP = 0.1                                      # seconds
+MUTE, FIRST = 20_000, 5_000                      # tenths of a ms: something whole must have come; a first query
 CROWD, UNUSED = 0.25, 3_000                      # so full, idle connections end; after so long
 
 
