Counts told to judges never run full: a good build of a busy place is not sent back

Change: a count beyond 16 bits goes as two cells of one message, what is above the 16 bits first. Still cumulative, so loss, doubling, order and restarts heal as before; relays of before pass the first cell over. While both kinds are at work a judge of before still errs as it did.

--- a/tealsail/notes.py
+++ b/tealsail/notes.py
@@ -2,17 +2,27 @@
 import struct
 
 MOST = 60                                        # figures of a message: 10 + 4 * 60 bytes
+LOW = 0xFFFF                                     # the most that one figure holds
 
 
 def verdict_note(build: int, stage: int, verdict: int) -> bytes:
     return struct.pack("<HBB", build, stage, verdict)
 
 
-def count_notes(build: int, born: int, taken: int, before: int, cells: list[tuple[int, int]]) -> list[bytes]:
-    """As many messages as the (cell, count) pairs need, one at the least."""
-    parts = [cells[first:first + MOST] for first in range(0, len(cells), MOST)] or [[]]
-    head = build, born & 0xFFFFFFFF, min(65535, taken), min(65535, before)
-    rows = [[min(65535, figure) for cell in part for figure in cell] for part in parts]
+def count_notes(build: int, born: int, taken: int, before: int, cells: list[tuple[int, int]],
+                size: int) -> list[bytes]:
+    """As many messages as the (cell, count) pairs need, one at the least; there are `size` cells in all.
+
+    A count beyond 16 bits goes as two cells of one message: `size` + cell with what is above the 16 bits, then
+    the cell with the rest.  Guards against counts that run full: served stood still at 65,535 while failures
+    went on, and every good build of a busy place was sent back.  Relays of before pass the first of the two over.
+    """
+    most = MOST if all(count <= LOW for _, count in cells) else MOST // 2
+    parts = [cells[first:first + most] for first in range(0, len(cells), most)] or [[]]
+    head = build, born & 0xFFFFFFFF, min(LOW, taken), min(LOW, before)
+    rows = [[figure for cell, count in part for figure in (
+        (size + cell, min(LOW, count >> 16), cell, count & LOW) if count > LOW else (cell, count))]
+            for part in parts]
     return [struct.pack(f"<HIHH{len(row)}H", *head, *row) for row in rows]
 
 
@@ -33,8 +43,13 @@
 
     def add(self, sender: int, born: int, cells: tuple[int, ...]) -> None:
         known = self.known.setdefault((sender, born), {})
+        above: dict[int, int] = {}               # of this message only: the two cells go together
         for cell, count in zip(cells[::2], cells[1::2]):
-            if cell < len(self.sums) and count > known.get(cell, 0):
+            if cell >= len(self.sums):
+                above[cell - len(self.sums)] = count << 16
+                continue
+            count += above.pop(cell, 0)
+            if count > known.get(cell, 0):
                 self.sums[cell] += count - known.get(cell, 0)
                 known[cell] = count
 
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -402,7 +402,8 @@
         cells = [(cell, count) for cell, (count, told) in enumerate(zip(counts, self.told))
                  if count and (whole or count != told)]
         self.told = counts
-        for data in count_notes(trial.build, relay.born, relay.admission.lately(), trial.taken_before, cells):
+        for data in count_notes(trial.build, relay.born, relay.admission.lately(), trial.taken_before, cells,
+                                len(counts)):
             for index in self.order[:JUDGES + 1] if cells or self.place <= JUDGES else ():
                 if index != relay.index:
                     tell(index, data)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -3,7 +3,7 @@
 import unittest
 
 from tealsail import policy
-from tealsail.notes import verdict_note
+from tealsail.notes import Pool, count_notes, read, verdict_note
 from tealsail.parts import mix, rank_test
 from tests.fake import HARMLESS, ONE_SHOT, SECOND, Story
 
@@ -65,6 +65,42 @@
         story.relay.on_told(1, story.evidence(dict(served=4), dict(served=4), start=99))     # restarted since
         self.assertEqual(story.relay.judge.pool()[0][0][0], 34)
 
+    def busy(self, seconds: int, failing: float) -> list[int]:
+        """A released build, judged for so long by what four relays at 240 outcomes a second tell; the baseline
+        had 0.3% failures."""
+        story = Story(units=40, relays=5)
+        story.trial(many=20)
+        story.relay.on_stage(2, 1, policy.RELEASED, 1.0, 0)
+        size = len(story.relay.judge.pooled.sums)
+        for each in story.relay.units.values():
+            each.failing = 0.003                 # one failure here and there, as any build has
+        for second in range(10, seconds, 2):
+            served, failed = 240 * second, int(240 * second * failing)
+            cells = [(0, served - failed), (1, failed), (10, 7200), (11, 22)]
+            for sender in range(1, 5):
+                for data in count_notes(2, 5, 900, 900, cells, size):
+                    story.relay.on_told(sender, data)
+            story.beat()
+        return story.votes()
+
+    def test_a_good_build_of_a_busy_place_is_not_sent_back_once_counts_pass_16_bits(self) -> None:
+        self.assertEqual(self.busy(900, 0.003), [])
+
+    def test_and_a_build_that_fails_is_sent_back_with_counts_that_large(self) -> None:
+        self.assertIn(policy.BACK, self.busy(900, 0.03))
+
+    def test_counts_beyond_16_bits_heal_from_loss_doubling_and_order_too(self) -> None:
+        counts = [[(0, low), (1, 3), (40, 70_000 + low)] for low in (65_000, 65_535, 65_536, 65_537, 140_000)]
+        told = [count_notes(2, 5, 1, 1, cells, 60) for cells in counts]
+        for seed in range(20):
+            chance, pool = random.Random(seed), Pool(60)
+            notes = [data for notes in told[:-1] for data in notes if chance.random() < 0.7] + told[-1]
+            chance.shuffle(notes)
+            for data in notes + notes[:2]:
+                pool.add(3, 5, read(data)[4:])
+            self.assertEqual([pool.sums[cell] for cell in (0, 1, 40)], [140_000, 3, 210_000])
+            self.assertTrue(all(len(data) <= 256 for data in notes))
+
     def test_a_relay_that_is_not_drawn_votes_only_for_a_silent_judge(self) -> None:
         sitting = alone = 0
         for index in range(8):
