--- /dev/null
+++ b/tealsail/lab/figures.py
@@ -0,0 +1,213 @@
+"""What a record says of a day: service, answers, latencies and what the roll-out cost, from its lines alone."""
+from array import array
+from typing import Any
+
+import msgspec
+import numpy
+
+from ..record.lines import Any_Line, Came, End, Fault, Head, Line, Ran, Shot, Stage, Take, Vote
+
+SECOND = 10_000
+FORGET = 12 * SECOND                             # after its abandon time a first try is counted as it stands
+
+
+class Result(msgspec.Struct):
+    """One day in figures.  `series` holds a value for each second of the day."""
+    name: str
+    seed: int
+    source: str
+    figures: dict[str, float]
+    series: dict[str, list[float]]
+    curve: list[float] = []                      # latency in ms at PARTS of those served
+    breaches: dict[str, int] = {}
+    notes: list[str] = []                        # stages, votes and faults, a line each
+    late_ms: float = 0.0                         # by how much whoever played it ran late at worst
+
+
+PARTS = (0.0, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.98, 0.99, 0.995, 0.999, 0.9999, 1.0)
+
+
+class First:
+    """A client's first try and what came of it and its repeats."""
+    __slots__ = ("take", "touched", "answer")
+
+    def __init__(self, take: Take) -> None:
+        self.take, self.touched, self.answer = take, False, ""
+
+
+class Group:
+    """Sums over first tries: of the whole day, of a workload, a customer or a zone."""
+    __slots__ = ("asked", "honoured", "many", "within", "answers")
+
+    def __init__(self) -> None:
+        self.asked = self.honoured = 0.0
+        self.many = self.within = 0
+        self.answers: dict[str, int] = {}
+
+    def add(self, payoff: float, kept: bool, answer: str) -> None:
+        self.asked, self.many = self.asked + payoff, self.many + 1
+        self.honoured, self.within = self.honoured + payoff * kept, self.within + kept
+        self.answers[answer] = self.answers.get(answer, 0) + 1
+
+
+class Figures:
+    """Feed it a record, line by line; then `result()`."""
+
+    def __init__(self) -> None:
+        self.head: Head | None = None
+        self.open: dict[int, First] = {}         # by the number of the first try
+        self.tries: dict[tuple[int, int], int] = {}              # relay and number -> first
+        self.whole = Group()
+        self.groups: dict[tuple[str, int | str], Group] = {}
+        self.latencies = [array("q") for _ in range(64)]         # by workload, of those served
+        self.asked, self.kept = array("d"), array("d")           # payoff by second
+        self.shots = self.at_trial = self.wasted = 0
+        self.harmed = 0.0
+        self.on_trial = -1
+        self.offered: dict[int, int] = {}
+        self.released: dict[int, int] = {}
+        self.back: dict[int, int] = {}
+        self.notes: list[str] = []
+        self.last = self.late = self.swept = 0
+
+    def __call__(self, line: Line) -> None:
+        kind = type(line)
+        self.last = line.at
+        if kind is Take:
+            self.take(line)
+        elif kind is Shot:
+            self.shot(line)
+        elif kind is End:
+            self.end(line)
+        elif kind is Came or kind is Ran:
+            pass
+        elif kind is Stage:
+            self.stage(line)
+        elif kind is Head:
+            self.begin(line)
+        elif kind is Vote and line.answer == "ok" or kind is Fault:
+            self.note(line)
+
+    def begin(self, head: Head) -> None:
+        self.head = head
+        self.workloads = head.facts.get("workloads", [])
+        self.customers = [each.get("name", "") for each in head.facts.get("customers", [])]
+        zones = head.day.get("fleet", {}).get("zones", [])
+        self.zones = list(zones) if len(zones) > 1 else []
+
+    def take(self, line: Take) -> None:
+        first = self.open.get(line.first)
+        if first is None:
+            first = self.open[line.first] = First(line)
+        self.tries[line.relay, line.number] = line.first
+        if line.at > self.swept + FORGET:
+            self.sweep(line.at)
+
+    def shot(self, line: Shot) -> None:
+        self.shots += 1
+        if line.build == self.on_trial:
+            self.at_trial += 1
+            first = self.open.get(self.tries.get((line.relay, line.number), -1))
+            if first:
+                first.touched = True
+
+    def end(self, line: End) -> None:
+        number = self.tries.pop((line.relay, line.number), None)
+        first = self.open.get(number) if number is not None else None
+        if first is None:
+            return
+        first.answer = line.answer
+        if line.answer == "served":
+            del self.open[number]
+            latency = line.at - first.take.intended
+            self.latencies[first.take.workload].append(latency)
+            self.count(first, latency)
+
+    def sweep(self, now: int) -> None:
+        """Those whose client has given up can't be served any more."""
+        self.swept = now
+        for number, first in list(self.open.items()):
+            if now > first.take.give_up + SECOND and first.answer:
+                del self.open[number]
+                self.count(first, -1)
+
+    def count(self, first: First, latency: int) -> None:
+        take = first.take
+        workload = self.workloads[take.workload]
+        payoff, promised = workload.get("payoff", 1.0), workload["promised"]
+        kept = 0 <= latency <= promised
+        answer = ("kept" if kept else "late") if latency >= 0 else first.answer or "lost"
+        self.whole.add(payoff, kept, answer)
+        named = [("workload", take.workload), ("customer", take.customer)]
+        if self.zones:
+            named.append(("zone", self.zones[take.relay % len(self.zones)]))
+        for name in named:
+            if name not in self.groups:
+                self.groups[name] = Group()
+            self.groups[name].add(payoff, kept, answer)
+        second = take.intended // SECOND
+        while len(self.asked) <= second:
+            self.asked.append(0.0)
+            self.kept.append(0.0)
+        self.asked[second] += payoff
+        self.kept[second] += payoff * kept
+        if first.touched and not kept:
+            self.harmed += payoff
+
+    def stage(self, line: Stage) -> None:
+        self.note(line)
+        if line.phase == "on trial":
+            self.on_trial = line.build
+            self.offered.setdefault(line.build, line.at)
+        elif line.phase == "released":
+            self.on_trial = -1
+            self.released.setdefault(line.build, line.at)
+        elif line.phase == "going back":
+            self.back.setdefault(line.build, line.at)
+
+    def note(self, line: Any_Line) -> None:
+        if len(self.notes) < 200:
+            match line:
+                case Stage(at, build, stage, phase, cap):
+                    self.notes.append(f"{at / SECOND:7.2f}s build {build} stage {stage} {phase}, cap {cap:.0%}")
+                case Vote(at, relay, build, stage, verdict, _):
+                    self.notes.append(f"{at / SECOND:7.2f}s relay {relay} votes {verdict} on build {build} stage {stage}")
+                case Fault(at, text):
+                    self.notes.append(f"{at / SECOND:7.2f}s {text}")
+
+    def result(self, breaches: dict[str, int] | None = None, late: int = 0) -> Result:
+        for first in list(self.open.values()):
+            self.count(first, -1)
+        self.open.clear()
+        head, whole = self.head, self.whole
+        many = whole.many or 1
+        figures = {"service": whole.honoured / (whole.asked or 1), "within": whole.within / many}
+        for name in ("late", "rejected", "forfeited", "wrong", "lost"):
+            figures[name] = whole.answers.get(name, 0) / many
+        figures["harm"] = self.harmed / (whole.asked or 1)
+        figures["at_trial"] = self.at_trial / (self.shots or 1)
+        figures["shots"] = self.shots / many
+        for build, at in self.offered.items():
+            figures[f"released.{build}"] = float(build in self.released and build not in self.back)
+            if build in self.back:
+                figures[f"back_s.{build}"] = (self.back[build] - at) / SECOND
+            elif build in self.released:
+                figures[f"released_s.{build}"] = (self.released[build] - at) / SECOND
+        served = numpy.concatenate([numpy.frombuffer(each, dtype=numpy.int64) for each in self.latencies if each]
+                                   or [numpy.zeros(0, numpy.int64)])
+        for part, name in ((0.5, "p50_ms"), (0.99, "p99_ms")):
+            figures[name] = float(numpy.quantile(served, part)) / 10 if len(served) else float("nan")
+        for place, workload in enumerate(self.workloads):
+            mine = numpy.frombuffer(self.latencies[place], dtype=numpy.int64) if self.latencies[place] else served[:0]
+            for part, name in ((0.5, "p50_ms"), (0.99, "p99_ms")):
+                if len(mine):
+                    figures[f"{name}.{workload['name']}"] = float(numpy.quantile(mine, part)) / 10
+        for (kind, place), group in sorted(self.groups.items(), key=str):
+            names = self.customers if kind == "customer" else [each["name"] for each in self.workloads]
+            name = place if isinstance(place, str) else names[place] if place < len(names) else str(place)
+            if name:
+                figures[f"service.{kind}.{name}"] = group.honoured / (group.asked or 1)
+        series = {"asked": [round(each, 6) for each in self.asked],
+                  "service": [kept / asked if asked else 1.0 for asked, kept in zip(self.asked, self.kept)]}
+        curve = [float(each) / 10 for each in numpy.quantile(served, PARTS)] if len(served) else []
+        return Result(head.name, head.seed, head.source, figures, series, curve, breaches or {}, self.notes, late / 10)
--- /dev/null
+++ b/tealsail/lab/runs.py
@@ -0,0 +1,102 @@
+"""Model runs: one day, many days of one option in several processes, and two options on the same days."""
+import os
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from ..parts import mix
+from ..record.files import Writer, read
+from ..record.lines import Close
+from ..world.rules import MOST_TOLD, Breach, Rules, Slack
+from .bars import Bar, Difference, bars, differences
+from .figures import Figures, Result
+from .scenario import Scenario
+from .virtual import Model
+
+Progress = Callable[[int, int], None]            # done, of how many
+
+
+def day_seed(scenario: Scenario, replica: int) -> int:
+    """The seed of one replica; two options with one scenario seed share it."""
+    return mix(scenario.seed, replica, 11) >> 2
+
+
+def play(scenario: Scenario, seed: int, record: Path | str | None = None) -> tuple[Result, list[Breach]]:
+    """One day in virtual time; with `record`, written there.  The rules are always checked."""
+    figures, rules = Figures(), Rules()
+    writer = Writer(record) if record else None
+    model = Model(scenario, seed, [figures, rules] + ([writer] if writer else []))
+    try:
+        model.play()
+    finally:
+        if writer:
+            writer.close()
+    rules.close()
+    result = figures.result({name: count for name, count in rules.counts.items() if count})
+    if model.faults:
+        result.breaches["faults"] = model.faults
+    return result, rules.breaches
+
+
+def judge(path: Path | str, slack: Slack = Slack()) -> tuple[Result, list[Breach]]:
+    """The same figures and rules from a record."""
+    figures, rules, late = Figures(), Rules(slack), 0
+    for line in read(path):
+        figures(line)
+        rules(line)
+        if isinstance(line, Close):
+            late = line.late
+    rules.close()
+    return figures.result({name: count for name, count in rules.counts.items() if count}, late), rules.breaches
+
+
+class Option(NamedTuple):
+    """Many days of one option: a result for each, bars for each figure, and rules broken."""
+    name: str
+    results: list[Result]
+    bars: dict[str, Bar]
+    breaches: list[Breach]
+
+
+def one_day(scenario: Scenario, seed: int) -> tuple[Result, list[Breach]]:
+    result, breaches = play(scenario, seed)
+    return result, breaches[:MOST_TOLD // 5]
+
+
+def days(options: list[list[Scenario]], jobs: int = 0, progress: Progress | None = None) -> list[Option]:
+    """Each option as a list of scenarios, one for each replica; replica k of all options has one seed."""
+    work = [(place, replica, each, day_seed(each, replica))
+            for place, replicas in enumerate(options) for replica, each in enumerate(replicas)]
+    done: dict[tuple[int, int], tuple[Result, list[Breach]]] = {}
+    for count, (key, outcome) in enumerate(carried_out(work, jobs or os.cpu_count() or 1), 1):
+        done[key] = outcome
+        if progress:
+            progress(count, len(work))
+    found = []
+    for place, replicas in enumerate(options):
+        mine = [done[place, replica] for replica in range(len(replicas))]
+        results = [result for result, _ in mine]
+        found.append(Option(replicas[0].name, results, bars([each.figures for each in results]) if len(mine) > 1 else {},
+                            [breach for _, breaches in mine for breach in breaches][:MOST_TOLD]))
+    return found
+
+
+def carried_out(work: list[tuple[int, int, Scenario, int]], jobs: int) -> Iterator[tuple[tuple[int, int], Any]]:
+    if jobs == 1 or len(work) == 1:
+        for place, replica, scenario, seed in work:
+            yield (place, replica), one_day(scenario, seed)
+        return
+    with ProcessPoolExecutor(min(jobs, len(work))) as pool:
+        waiting = {pool.submit(one_day, scenario, seed): (place, replica) for place, replica, scenario, seed in work}
+        for future in as_completed(waiting):
+            yield waiting[future], future.result()
+
+
+def replicas(scenario: Scenario, many: int) -> list[Scenario]:
+    return [scenario] * many
+
+
+def compared(first: Option, second: Option) -> dict[str, Difference]:
+    """B over A on the same days."""
+    return differences([each.figures for each in first.results], [each.figures for each in second.results])
--- a/tealsail/lab/scenario.py
+++ b/tealsail/lab/scenario.py
@@ -14,6 +14,7 @@
 from ..settings import facts, nested
 from ..world.builds import Build
 from ..world.clients import Habits, Workload
+from ..world.day import Parts
 from ..world.desk import Plan
 from ..world.draws import Table, empirical, lognormal
 from ..world.faults import Fault
@@ -37,7 +38,7 @@
     """One clear line with the path of the field."""
 
 
-class Strict(Struct, forbid_unknown_fields=True, kw_only=True):
+class Strict(Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
     """A table in which every field is known."""
 
 
@@ -71,7 +72,7 @@
 class FleetTable(Strict):
     relays: Some = 3
     units: Some = 12
-    zones: list[Word] = ["a"]
+    zones: tuple[Word, ...] = ("a",)
     cells: Some = 1
     speeds: Share = 0.1
     start_ms: tuple[Time, Time] = (800.0, 2000.0)
@@ -109,8 +110,8 @@
 
 
 class PlatformTable(Strict):
-    caps: Annotated[list[Share], Meta(min_length=1)] = [0.2, 0.5, 1.0]
-    shares: Annotated[list[Annotated[float, Meta(gt=0, le=1)]], Meta(min_length=1)] = [0.25, 0.5, 1.0]
+    caps: Annotated[tuple[Share, ...], Meta(min_length=1)] = (0.2, 0.5, 1.0)
+    shares: Annotated[tuple[Annotated[float, Meta(gt=0, le=1)], ...], Meta(min_length=1)] = (0.25, 0.5, 1.0)
     bake_ms: Positive = 1000.0
     on_votes: Count = 1
     back_votes: Count = 1
@@ -145,7 +146,7 @@
     turns_s: tuple[Time, Time] = (0.0, 0.0)
 
 
-class Scenario(Strict):
+class Scenario(Strict, kw_only=True):
     name: Annotated[str, Meta(min_length=1, max_length=80)]
     seconds: Annotated[float, Meta(gt=0, le=100_000)] = 60.0
     seed: Annotated[int, Meta(ge=0, lt=1 << 62)] = 1
@@ -155,7 +156,7 @@
     fleet: FleetTable = FleetTable()
     unit: UnitTable = UnitTable()
     clients: ClientTable = ClientTable()
-    list: ListTable = ListTable()
+    roster: ListTable = msgspec.field(default=ListTable(), name="list")
     platform: PlatformTable = PlatformTable()
     network: NetworkTable = NetworkTable()
     workload: Annotated[list[WorkloadTable], Meta(min_length=1, max_length=64)]
@@ -216,12 +217,24 @@
     def faults(self) -> list[Fault]:
         return read_script(self.script)
 
+    def parts(self) -> Parts:
+        """All that the world is made of."""
+        late = tenths_pair(self.roster.late_ms)
+        return Parts(self.layout(), self.kind(), self.builds_by_number(), self.build, self.works(), self.workloads(),
+                     [(each.name, each.share) for each in self.customer], self.habits(), self.plan(), self.paths(),
+                     self.relay_zones(), late, [(int(each.offered_s * 10_000), each.number) for each in self.builds],
+                     self.faults(), self.span)
+
+    def plain(self) -> dict[str, Any]:
+        """As a plain map that `convert` reads."""
+        return msgspec.to_builtins(self)
+
     def relay_settings(self, relay: int) -> dict[str, Any]:
         """What the platform tells that relay, in its own names and units."""
         platform, unit, network = self.platform, self.unit, self.network
         tree: dict[str, Any] = {
             "fleetSize": self.fleet.relays, "index": relay, "zone": self.relay_zones()[relay],
-            "dcs": self.fleet.zones, "discovery": "pushed",
+            "dcs": list(self.fleet.zones), "discovery": "pushed",
             "requestClasses": [{"name": each.name, "effect": EFFECTS[each.effect], "aim": each.promised_ms,
                                 "deadline": each.abandon_ms, "gain": each.payoff, "group": "all"}
                                for each in self.workload],
@@ -230,8 +243,8 @@
                        "holdVotes": 1, "noesNeeded": platform.back_votes, "minDwell": platform.bake_ms,
                        "stageTime": platform.by_clock_ms or platform.bake_ms, "ballotTtl": platform.vote_life_ms,
                        "apiTimeout": 1000, "callsPerS": platform.votes_per_second, "free": platform.free_shots,
-                       "per": "all", "span": platform.span_ms, "mostShares": platform.caps,
-                       "waves": platform.shares, "layout": "beside" if self.fleet.beside else "in_place"},
+                       "per": "all", "span": platform.span_ms, "mostShares": list(platform.caps),
+                       "waves": list(platform.shares), "layout": "beside" if self.fleet.beside else "in_place"},
             "limits": {"cancel": True, "maxAttempts": 3, "parallelTries": False, "retryAfter": True,
                        "maxRetryAfter": 500, "mayTell": self.fleet.relays > 1, "dialTimeout": network.connect_ms,
                        "connIdle": network.idle_ms},
@@ -332,7 +345,7 @@
             wrong(f"builds[{place}].turns_s", "the first is later than the second")
     for field in ("fleet.start_ms", "list.late_ms", "network.notes_ms"):
         table, name = field.split(".")
-        least, most = getattr(getattr(scenario, table), name)
+        least, most = getattr(getattr(scenario, table.replace("list", "roster")), name)
         if least > most:
             wrong(field, "the first is more than the second")
     if len(scenario.platform.caps) < len(scenario.platform.shares):
--- /dev/null
+++ b/tealsail/lab/virtual.py
@@ -0,0 +1,398 @@
+"""A day in virtual time: the world's machines and real relays' decisions on one heap of events.
+
+Each relay is the facade that real relays use (tealsail/facade.py), driven as tealsail/net/relay.py drives it.  The same
+scenario and seed give the same events, byte for byte, on any machine.
+"""
+import heapq
+from typing import Any, Callable
+
+from ..facade import (CallOff, Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
+                      Step, Units)
+from ..net.relay import number_of
+from ..parts import mix
+from ..record.lines import VERSION, Came, End, Head, Life, Line, Log, News, Ran, Told
+from ..record.lines import Shot as ShotLine, Take
+from ..world.clients import Arrival
+from ..world.day import Day
+from ..world.roster import Entry
+from ..world.unit import NEVER, Asked, Unit
+from .scenario import Scenario
+
+GRACE = 600_000                                  # tenths of a ms after the last arrival: then a day is cut off
+EVER = (1 << 62) - 1
+
+
+class Out:
+    """A shot on its way, at a unit or on its way back."""
+    __slots__ = ("serving", "place", "unit", "name", "over", "connected")
+
+    def __init__(self, serving: "Serving", place: int, name: str) -> None:
+        self.serving, self.place, self.name, self.over = serving, place, name, False
+        self.unit: Unit | None = None
+        self.connected = False
+
+
+class Serving:
+    """One invocation at its relay."""
+    __slots__ = ("arrival", "number", "outs", "over", "wrong")
+
+    def __init__(self, arrival: Arrival, number: int) -> None:
+        self.arrival, self.number, self.over, self.wrong = arrival, number, False, False
+        self.outs: dict[int, Out] = {}
+
+
+class Door:
+    """One relay of the model: a facade, what it serves, and the connections that it keeps."""
+
+    def __init__(self, model: "Model", index: int, start: int) -> None:
+        self.model, self.index = model, index
+        self.facade = Facade(model.scenario.facts(index), mix(model.seed, index, start, 7), model.clock)
+        self.serving: dict[int, Serving] = {}
+        self.kept: dict[str, list[int]] = {}     # unit -> idle connections, and when one was last used
+        self.timer = NEVER
+
+    def take(self, arrival: Arrival) -> None:
+        model, facade = self.model, self.facade
+        workload, customer = model.names[arrival.workload], model.whose[arrival.customer]
+        model.tell(Take(model.now, self.index, arrival.number, arrival.intended, arrival.workload, arrival.customer,
+                        arrival.key, arrival.give_up, arrival.first))
+        repeat = arrival.repeat and model.parts.habits.marks
+        number, step = facade.pick(workload, customer, arrival.key, arrival.give_up, repeat=repeat)
+        serving = self.serving[number] = Serving(arrival, number)
+        self.follow(serving, step)
+        self.schedule()
+
+    def follow(self, serving: Serving, step: Step) -> None:
+        if type(step) is Shoot:
+            self.shoot(serving, step)
+        elif type(step) is Reject:
+            self.end(serving, "rejected", step.come_back)
+        elif type(step) is Forfeit:
+            self.end(serving, "forfeited")
+        if serving.over and not serving.outs:
+            self.serving.pop(serving.number, None)
+
+    def end(self, serving: Serving, answer: str, come_back: int = 0) -> None:
+        if serving.over:
+            return
+        serving.over, model = True, self.model
+        model.open -= 1
+        model.tell(End(model.now, self.index, serving.arrival.number, answer))
+        again = model.day.clients.answered(model.now, serving.arrival, answer, come_back)
+        if again:
+            model.waiting += 1
+            model.later(again.at, model.again, again)
+
+    def shoot(self, serving: Serving, step: Shoot) -> None:
+        model, now = self.model, self.model.now
+        name = model.unit_names[step.unit]
+        believed = self.facade.relay.units[step.unit].build
+        out = serving.outs[step.place] = Out(serving, step.place, name)
+        model.tell(ShotLine(now, self.index, serving.arrival.number, step.place, name, believed, step.wait))
+        model.later(now + step.wait, self.overdue, out)
+        unit = model.day.fleet.units.get(name)
+        zone = unit.zone if unit else ""
+        way = model.day.network.way(self.index, zone)
+        if unit is None or unit.dead:            # refused at once
+            self.kept.pop(name, None)
+            model.later(now + 2 * way, self.came, out, "unreachable")
+        elif not model.day.network.reaches(now, self.index, name, zone):
+            self.kept.pop(name, None)
+            model.later(now + model.connect_wait, self.came, out, "unreachable")
+        else:
+            kept = self.kept.get(name)
+            if kept and kept[0] and now - kept[1] < model.idle_time:
+                kept[0] -= 1
+                wait = 3 * way                   # it proves itself by an empty query first
+            else:
+                wait = 3 * way + model.parts.paths.handshake
+            out.connected = True
+            model.later(now + wait, model.reach, self, out, unit)
+
+    def came(self, out: Out, outcome: str) -> None:
+        """A shot has ended, for this relay."""
+        if out.over:
+            return
+        out.over, serving, model = True, out.serving, self.model
+        serving.outs.pop(out.place, None)
+        load = None
+        if outcome == "wrong":                   # a relay can't tell
+            serving.wrong, outcome = True, "served"
+        if outcome in ("served", "error", "full"):
+            kept = self.kept.setdefault(out.name, [0, 0])
+            kept[0], kept[1] = kept[0] + 1, model.now
+            load = out.unit.load(model.now) if out.unit and out.unit.kind.report_every else None
+        model.tell(Came(model.now, self.index, serving.arrival.number, out.place, outcome))
+        step = self.facade.report(Outcome(serving.number, out.place, outcome, load))
+        if outcome == "served":
+            self.end(serving, "wrong" if serving.wrong else "served")
+        self.follow(serving, step)
+        self.schedule()
+
+    def overdue(self, out: Out) -> None:
+        if not out.over:
+            self.give_up(out, "timeout")
+
+    def give_up(self, out: Out, outcome: str) -> None:
+        if out.unit:
+            self.model.later(self.model.now + self.model.day.network.way(self.index, out.unit.zone),
+                             self.model.stop, out)
+        self.came(out, outcome if out.unit else "moot")          # nothing was written yet
+
+    def schedule(self) -> None:
+        """As the daemon does: at once what is wanted, else when the facade is due."""
+        facade = self.facade
+        wants = facade.wants
+        if wants.votes or wants.notes or wants.calls_off or wants.lines:
+            return self.ticked()
+        due = facade.wakes[0][0] if facade.wakes else NEVER
+        if due < self.timer:
+            self.timer = due
+            self.model.later(max(due, self.model.now), self.wake, due)
+
+    def wake(self, due: int) -> None:
+        if due == self.timer and self.model.doors[self.index] is self:
+            self.timer = NEVER
+            self.ticked()
+
+    def ticked(self) -> None:
+        model, wants = self.model, self.facade.tick()
+        for text in wants.lines:
+            model.tell(Log(model.now, self.index, text))
+        for to, data in wants.notes:
+            for other in range(len(model.doors)) if to < 0 else (to,):
+                wait = model.day.network.note(model.now, self.index, other) if other != self.index else -1
+                if wait >= 0:
+                    model.later(model.now + wait, model.note, other, self.index, data)
+        for vote in wants.votes:
+            model.later(model.now + model.news_wait, model.vote, self, *vote)
+        for what in wants.calls_off:
+            self.call_off(what)
+        self.schedule()
+
+    def call_off(self, what: CallOff) -> None:
+        serving = self.serving.get(what.number)
+        if serving and what.place in serving.outs:
+            self.give_up(serving.outs[what.place], "cancelled")
+
+    def listed(self, entries: list[Entry], kind: str) -> None:
+        model = self.model
+        for entry in entries:
+            model.tell(Told(model.now, self.index, entry.name, entry.build, entry.state, entry.started))
+        self.facade.report(Units(kind, [model.listed(entry) for entry in entries]))
+        self.schedule()
+
+    def stood(self) -> None:
+        model, state = self.model, self.model.day.desk.state
+        model.tell(News(model.now, self.index, state.build, state.stage, state.phase, state.cap))
+        self.facade.report(Standing(state.build, state.stage, state.phase, state.cap, model.now - state.since))
+        self.schedule()
+
+
+class Model:
+    """One run.  `listeners` get each line of the record as it happens; `events` counts what was played."""
+
+    def __init__(self, scenario: Scenario, seed: int, listeners: list[Callable[[Line], Any]]) -> None:
+        self.scenario, self.seed, self.listeners = scenario, seed, listeners
+        self.now = self.events = self.count = 0
+        self.heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.parts = scenario.parts()
+        self.day = Day(self.parts, seed)
+        self.names = [each.name for each in scenario.workload]
+        self.whose = [each.name for each in scenario.customer] or [""]
+        self.zones = {name: place for place, name in enumerate(scenario.fleet.zones)}
+        self.unit_names: dict[int, str] = {}
+        self.connect_wait = int(scenario.network.connect_ms * 10)
+        self.idle_time = int(scenario.network.idle_ms * 10)
+        self.news_wait = int(scenario.platform.news_ms * 10)
+        self.open = self.waiting = 0             # invocations without an answer; repeats to come
+        self.day_at = NEVER                      # when the day is woken next
+        self.doors: list[Door | None] = []
+        self.starts = [0] * scenario.fleet.relays
+        self.faults = 0
+
+    def clock(self) -> int:
+        return self.now
+
+    def tell(self, line: Line) -> None:
+        for listener in self.listeners:
+            listener(line)
+
+    def later(self, at: int, call: Callable[..., None], *what: Any) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (at, self.count, call, what))
+
+    def play(self) -> "Model":
+        """The whole day, and on until all is answered."""
+        scenario = self.scenario
+        self.tell(Head(0, VERSION, "model", scenario.name, self.seed, scenario.facts(0), scenario.plain()))
+        self.took_up()
+        for relay in range(scenario.fleet.relays):
+            self.doors.append(None)
+            self.start(relay)
+        self.arrivals()
+        heap, pop = self.heap, heapq.heappop
+        end = scenario.span + GRACE
+        while heap and (self.now < scenario.span or self.open or self.waiting) and self.now < end:
+            self.now, _, call, what = pop(heap)
+            self.events += 1
+            call(*what)
+        self.faults += sum(door.facade.faults for door in self.doors if door)
+        return self
+
+    # relays
+    def start(self, relay: int) -> None:
+        """From what is known at that place: the list as its agent has it, and the platform's state."""
+        self.starts[relay] += 1
+        door = self.doors[relay] = Door(self, relay, self.starts[relay])
+        self.tell(Life(self.now, relay, "up"))
+        roster = self.day.roster
+        door.stood()
+        door.listed(roster.whole(roster.told[relay]), "old copy")
+
+    def end(self, relay: int) -> None:
+        """Killed: what it had at hand is lost with it, and its connections end."""
+        door, self.doors[relay] = self.doors[relay], None
+        if door is None:
+            return
+        self.tell(Life(self.now, relay, "down"))
+        self.faults += door.facade.faults
+        for serving in door.serving.values():
+            for out in serving.outs.values():
+                out.over = True
+                if out.unit:
+                    self.later(self.now + self.parts.paths.near, self.stop, out)
+            if not serving.over:
+                serving.over = True
+                self.open -= 1
+                self.tell(End(self.now, relay, serving.arrival.number, "lost"))
+
+    def note(self, to: int, sender: int, data: bytes) -> None:
+        door = self.doors[to]
+        if door:
+            door.facade.report(Heard(sender, data))
+            door.schedule()
+
+    def vote(self, door: Door, build: int, stage: int, verdict: str) -> None:
+        answer = self.day.vote(self.now, door.index, build, stage, verdict)
+        self.took_up()
+        wait = self.news_wait if answer != "nothing" else int(self.scenario.facts(0)["vote_wait"])
+        self.later(self.now + wait, self.counted, door, "timeout" if answer == "nothing" else answer)
+
+    def counted(self, door: Door, answer: str) -> None:
+        if self.doors[door.index] is door:
+            door.facade.report(Counted(answer))
+            door.schedule()
+
+    # clients
+    def arrivals(self) -> None:
+        due = self.day.clients.due
+        if due is not None:
+            self.later(due, self.arrive)
+
+    def arrive(self) -> None:
+        self.serve(self.day.clients.next())
+        self.arrivals()
+
+    def again(self, arrival: Arrival) -> None:
+        self.waiting -= 1
+        self.serve(arrival)
+
+    def serve(self, arrival: Arrival) -> None:
+        """The front gives it to its relay, or to the next one that is up."""
+        many = len(self.doors)
+        for step in range(many):
+            door = self.doors[(arrival.relay + step) % many]
+            if door:
+                self.open += 1
+                return door.take(arrival)
+
+    # units
+    def reach(self, door: Door, out: Out, unit: Unit) -> None:
+        """The last byte of a shot has come to its unit."""
+        if out.over:
+            return
+        if unit.dead:
+            return door.came(out, "unreachable")
+        out.unit = unit
+        arrival = out.serving.arrival
+        unit.take(self.now, Asked((door, out), arrival.first, arrival.workload))
+        self.touch(unit)
+
+    def stop(self, out: Out) -> None:
+        for ref in [ref for ref in out.unit.jobs if ref[1] is out]:
+            out.unit.stop(self.now, ref)
+        self.touch(out.unit)
+
+    def touch(self, unit: Unit) -> None:
+        """Takes up what a unit said, and when it wants to be woken."""
+        for (door, out), work in unit.taken:
+            self.tell(Ran(self.now, door.index, out.serving.arrival.number, out.place, unit.name, work))
+        unit.taken.clear()
+        if unit.said:
+            said, unit.said = unit.said, []
+            network, now = self.day.network, self.now
+            for (door, out), outcome in said:
+                if not out.over and network.reaches(now, door.index, unit.name, unit.zone):
+                    self.later(now + network.way(door.index, unit.zone), door.came, out, outcome)
+        if unit.fell and unit.name in self.day.fleet.units and not unit.told_fallen:
+            unit.told_fallen = True
+            self.day.fallen(self.now, unit)
+            self.took_up()
+        due = unit.due
+        if due < unit.wake_at:
+            unit.wake_at = due
+            self.later(due, self.wake_unit, unit, due)
+
+    def wake_unit(self, unit: Unit, due: int) -> None:
+        if due == unit.wake_at:
+            unit.wake_at = NEVER
+            unit.wake(self.now)
+            self.touch(unit)
+
+    # the day
+    def wake_day(self, due: int) -> None:
+        if due == self.day_at:
+            self.day_at = NEVER
+            self.day.wake(self.now)
+            self.took_up()
+
+    def took_up(self) -> None:
+        """Carries out what the day left to do."""
+        day = self.day
+        lines, day.lines = day.lines, []
+        for line in lines:
+            self.tell(line)
+        touched, day.touched = day.touched, {}
+        for unit in touched:
+            self.touch(unit)
+        rounds, day.rounds = day.rounds, []
+        for version in rounds:
+            for relay, lag in enumerate(day.roster.lag):
+                self.later(self.now + lag, self.tell_list, relay, version)
+        if day.moved and self.now >= day.desk.silent_until:
+            day.moved = False
+            for relay in range(len(self.doors)):
+                self.later(self.now + self.news_wait, self.tell_state, relay)
+        relays, day.relays = day.relays, []
+        for relay, what in relays:
+            (self.end if what == "down" else self.start)(relay)
+        due = day.due
+        if due < self.day_at:
+            self.day_at = due
+            self.later(max(due, self.now + 1), self.wake_day, due)
+
+    def tell_list(self, relay: int, version: int) -> None:
+        _, entries = self.day.roster.news(relay, version)
+        if entries and self.doors[relay]:
+            self.doors[relay].listed(entries, "changes")
+
+    def tell_state(self, relay: int) -> None:
+        if self.doors[relay] and self.now >= self.day.desk.silent_until:
+            self.doors[relay].stood()
+
+    def listed(self, entry: Entry) -> Listed:
+        number = number_of(entry.name)
+        self.unit_names[number] = entry.name
+        return Listed(number, entry.build, entry.state, self.zones.get(entry.zone, 0), entry.cell, entry.weight,
+                      entry.started)
--- a/tealsail/world/desk.py
+++ b/tealsail/world/desk.py
@@ -40,6 +40,7 @@
         self.news = False
         self.silent_until = self.busy_until = 0
         self.second, self.calls = -1, 0          # calls taken in this second
+        self.seen = -1                           # up to when the clock has been heeded
 
     def offer(self, now: int, build: int) -> None:
         """A new build; what was on trial until then is taken off."""
@@ -78,7 +79,7 @@
 
     def count(self, now: int) -> None:
         """Moves on or back as the votes that stand, and the clock, have it."""
-        state, plan = self.state, self.plan
+        state, plan, self.seen = self.state, self.plan, now
         if now < self.silent_until or state.phase not in (ON_TRIAL, RELEASED):
             return
         standing = [verdict for build, stage, verdict, until in self.votes.values()
@@ -117,9 +118,9 @@
 
     @property
     def due(self) -> int:
-        """When the clock alone may move it."""
+        """When the clock alone may move it; what has passed by then waits for votes."""
         if self.state.phase != ON_TRIAL:
             return NEVER
-        if self.clock_at == NEVER:
-            return self.state.since + self.plan.launched_by
-        return self.clock_at + (self.plan.by_clock or self.plan.bake)
+        late = self.state.since + self.plan.launched_by
+        due = late if self.clock_at == NEVER else self.clock_at + (self.plan.by_clock or self.plan.bake)
+        return due if due > self.seen else NEVER
--- a/tealsail/world/unit.py
+++ b/tealsail/world/unit.py
@@ -71,7 +71,7 @@
         self.reports: deque[tuple[int, float, float]] = deque(maxlen=REPORTS)
         self.said: list[tuple[Any, str]] = []
         self.taken: list[tuple[Any, int]] = []   # (ref, work) of what was let in, for the record
-        self.fell = False
+        self.fell = self.told_fallen = False     # over, under what it was sent while cold
         self.place: Any = None                   # where in the fleet it runs
         self.wake_at = NEVER                     # when its driver will wake it
 
@@ -206,12 +206,10 @@
 
     def load(self, now: int) -> dict[str, float] | None:
         """The report that an answer carries: refreshed now and then, and late."""
-        known = None
-        for at, util, queue in self.reports:
-            if at > now - self.kind.report_delay:
-                break
-            known = {"util": util, "queue": queue}
-        return known
+        for at, util, queue in reversed(self.reports):
+            if at <= now - self.kind.report_delay:
+                return {"util": util, "queue": queue}
+        return None
 
     @property
     def due(self) -> int:
