--- a/tealsail/__main__.py
+++ b/tealsail/__main__.py
@@ -1,6 +1,6 @@
 """python -m tealsail: the relay on sockets."""
 import sys
 
-from .net.command import main
+from .command.main import main
 
 sys.exit(main())
--- /dev/null
+++ b/tealsail/command/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: what is chosen, and what is printed."""
--- /dev/null
+++ b/tealsail/command/lab.py
@@ -0,0 +1,274 @@
+"""The lab's sub-commands: model, trial, record.  What they find goes into tables, files of JSON and charts."""
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+from ..lab import costs, fits, imports, runs
+from ..lab.bars import Bar, Difference
+from ..lab.figures import Result
+from ..lab.scenario import BadScenario, Scenario, read
+from ..record.lines import Unreadable
+from ..world.rules import Breach
+
+FEWEST, MOST = 1, 1000                           # replicas
+WIDTH = 110                                      # of tables that go to a file or a pipe
+
+
+def run(chosen: dict[str, Any]) -> int:
+    """Carries out what was chosen; returns the exit code."""
+    out = Console(highlight=False, width=None if sys.stdout.isatty() else WIDTH)
+    try:
+        if chosen["model"]:
+            for name in ("run", "compare", "check", "cost"):
+                if chosen[name]:
+                    return {"run": model_run, "compare": model_compare, "check": model_check,
+                            "cost": model_cost}[name](chosen, out)
+        if chosen["trial"]:
+            return trial(chosen, out)
+        for name, call in (("show", record_show), ("import", record_import), ("fit", record_fit)):
+            if chosen[name]:
+                return call(chosen, out)
+    except (BadScenario, Unreadable, OSError, ValueError) as problem:
+        print(f"tealsail: {' '.join(str(problem).split())}", file=sys.stderr)
+    return 2
+
+
+def number(chosen: dict[str, Any], name: str, least: int, most: int) -> int:
+    """A whole number of the command line, in bounds."""
+    text = chosen[name]
+    if not text.isdigit() or not least <= int(text) <= most:
+        raise ValueError(f"{name}={text}: not a whole number from {least} to {most}")
+    return int(text)
+
+
+class Shown:
+    """A progress bar on standard error, only where somebody looks."""
+
+    def __init__(self, title: str) -> None:
+        self.bar = Progress(console=Console(stderr=True), transient=True, disable=not sys.stderr.isatty())
+        self.title = title
+
+    def __enter__(self) -> "Shown":
+        self.bar.start()
+        self.task = self.bar.add_task(self.title, total=None)
+        return self
+
+    def __exit__(self, *what: Any) -> None:
+        self.bar.stop()
+
+    def __call__(self, done: int, total: int) -> None:
+        self.bar.update(self.task, completed=done, total=total)
+
+
+def shown(value: float, name: str = "") -> str:
+    if value != value:
+        return "-"
+    return f"{value:.1f}" if "_ms" in name else f"{value:.2f}" if "_s." in name else f"{value:.4f}"
+
+
+def bar_text(name: str, bar: Bar | None) -> str:
+    return "-" if bar is None else f"{shown(bar.mean, name)} [{shown(bar.low, name)}, {shown(bar.high, name)}]"
+
+
+def save(path: str | None, tree: Any) -> None:
+    if path:
+        Path(path).write_bytes(msgspec.json.format(msgspec.json.encode(tree), indent=1) + b"\n")
+
+
+def say_breaches(out: Console, breaches: Sequence[Breach], counts: dict[str, int]) -> bool:
+    """Whether a rule was broken; the first few in words."""
+    broken = {name: count for name, count in counts.items() if count}
+    if not broken:
+        out.print("rules: none broken")
+        return False
+    out.print("rules BROKEN: " + ", ".join(f"{name} {count}" for name, count in broken.items()))
+    for breach in breaches[:5]:
+        out.print(f"  {breach.at / 10_000:.3f}s {breach.rule}: {breach.text}")
+    return True
+
+
+def total(results: Sequence[Result]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for result in results:
+        for name, count in result.breaches.items():
+            counts[name] = counts.get(name, 0) + count
+    return counts
+
+
+def day_table(result: Result) -> Table:
+    table = Table(title=f"{result.name} ({result.source}, seed {result.seed})")
+    table.add_column("figure")
+    table.add_column("value", justify="right")
+    for name, value in result.figures.items():
+        table.add_row(name, shown(value, name))
+    return table
+
+
+def chart(path: str | None, out: Console, options: Sequence[runs.Option], real: Sequence[Sequence[Result]] = ()) -> None:
+    if path:
+        from ..lab import charts
+        charts.options(path, options, real)
+        out.print(f"chart: {path}")
+
+
+def model_run(chosen: dict[str, Any], out: Console) -> int:
+    scenario = read(chosen["SCENARIO"])
+    if chosen["--seed"] or chosen["--record"]:   # one day, in full
+        seed = number(chosen, "--seed", 0, 1 << 62) if chosen["--seed"] else scenario.seed
+        result, breaches = runs.play(scenario, seed, chosen["--record"])
+        for note in result.notes:
+            out.print(note)
+        out.print(day_table(result))
+        save(chosen["--json"], result)
+        chart(chosen["--chart"], out, [runs.Option(scenario.name, [result], {}, breaches)])
+        return int(say_breaches(out, breaches, result.breaches))
+    option, = modelled(chosen, [scenario])
+    table = Table(title=f"{scenario.name}: {len(option.results)} days in virtual time, 95% bars for one day")
+    for column in ("figure", "mean [bar]", "mean known to"):
+        table.add_column(column, justify="left" if column == "figure" else "right")
+    for name, bar in option.bars.items():
+        table.add_row(name, bar_text(name, bar), f"±{shown(bar.known, name)}")
+    out.print(table)
+    save(chosen["--json"], {"scenario": scenario.name, "bars": {name: bar._asdict() for name, bar in option.bars.items()},
+                            "days": option.results})
+    chart(chosen["--chart"], out, [option])
+    return int(say_breaches(out, option.breaches, total(option.results)))
+
+
+def modelled(chosen: dict[str, Any], scenarios: list[Scenario]) -> list[runs.Option]:
+    many = number(chosen, "--replicas", max(2, FEWEST), MOST)
+    jobs = number(chosen, "--jobs", 0, 512)
+    drawn = [fits.drawn(scenario, many) for scenario in scenarios]
+    with Shown("days") as progress:
+        return runs.days(drawn, jobs, progress)
+
+
+def difference_row(name: str, a: Bar | None, b: Bar | None, gap: Difference) -> tuple[str, ...]:
+    sign = f"{'+' if gap.mean >= 0 else ''}{shown(gap.mean, name)} [{shown(gap.low, name)}, {shown(gap.high, name)}]"
+    return name, bar_text(name, a), bar_text(name, b), sign, gap.better
+
+
+def model_compare(chosen: dict[str, Any], out: Console) -> int:
+    scenarios = [read(chosen[name]) for name in ("A", "B")]
+    first, second = modelled(chosen, scenarios)
+    gaps = runs.compared(first, second)
+    table = Table(title=f"A: {first.name}   B: {second.name}   ({len(first.results)} days each, the same random numbers)")
+    for column in ("figure", "A [bar]", "B [bar]", "B - A [95%]", "better"):
+        table.add_column(column, justify="left" if column == "figure" else "right")
+    for name, gap in gaps.items():
+        table.add_row(*difference_row(name, first.bars.get(name), second.bars.get(name), gap))
+    out.print(table)
+    if "service" in gaps and "harm" in gaps and {gaps["service"].better, gaps["harm"].better} == {"A", "B"}:
+        out.print("mind: one option wins on service, the other on harm")
+    save(chosen["--json"], {"A": first.name, "B": second.name,
+                            "differences": {name: gap._asdict() for name, gap in gaps.items()},
+                            "days": {"A": first.results, "B": second.results}})
+    chart(chosen["--chart"], out, [first, second])
+    broken = [say_breaches(out, option.breaches, total(option.results)) for option in (first, second)]
+    return int(any(broken))
+
+
+def model_check(chosen: dict[str, Any], out: Console) -> int:
+    from ..lab import trials
+    scenarios = [read(chosen[name]) for name in ("A", "B")]
+    repeats = number(chosen, "--repeats", 1, 20)
+    options = modelled(chosen, scenarios)
+    real: list[list[Result]] = [[], []]
+    broken = False
+    for repeat in range(repeats):                # in turns, so that drift of the machine hits both alike
+        for place, scenario in enumerate(scenarios):
+            kept = Path(chosen["--keep"]) / f"{'AB'[place]}-{repeat}.record.gz" if chosen["--keep"] else None
+            with Shown(f"{scenario.name}, real, {repeat + 1} of {repeats}") as progress:
+                result, breaches = trials.play(scenario, runs.day_seed(scenario, 1000 + repeat), kept, progress=progress)
+            real[place].append(result)
+            broken = say_breaches(out, breaches, result.breaches) or broken
+    outside = inside = 0
+    for place, option in enumerate(options):
+        table = Table(title=f"{'AB'[place]}: {option.name}: model's bar and {repeats} real")
+        for column in ("figure", "bar", "real", "inside"):
+            table.add_column(column, justify="left" if column == "figure" else "right")
+        for name, bar in option.bars.items():
+            values = [each.figures[name] for each in real[place] if name in each.figures]
+            held = [bar.holds(value) for value in values]
+            inside, outside = inside + sum(held), outside + len(held) - sum(held)
+            table.add_row(name, bar_text(name, bar), " ".join(shown(value, name) for value in values),
+                          "yes" if all(held) else f"{sum(held)} of {len(held)}" if any(held) else "NO")
+        out.print(table)
+    out.print(f"inside their bars: {inside} of {inside + outside} real figures ({inside / (inside + outside or 1):.1%}; "
+              "nominal 95%)")
+    save(chosen["--json"], {"bars": [{name: bar._asdict() for name, bar in option.bars.items()} for option in options],
+                            "real": real, "inside": inside, "outside": outside})
+    chart(chosen["--chart"], out, options, real)
+    return int(broken or outside > 0)
+
+
+def model_cost(chosen: dict[str, Any], out: Console) -> int:
+    with Shown("fleets") as progress:
+        tables = costs.tables(progress)
+    table = Table(title="CPU of the model on one core")
+    for column in ("over", "size", "microseconds an invocation", "invocations a second"):
+        table.add_column(column, justify="right")
+    for name, points in tables.items():
+        for size, each in points:
+            table.add_row(name, str(size), f"{each:.0f}", f"{1e6 / each:.0f}")
+    out.print(table)
+    save(chosen["--json"], tables)
+    if chosen["--chart"]:
+        from ..lab import charts
+        charts.cost(chosen["--chart"], tables)
+        out.print(f"chart: {chosen['--chart']}")
+    return 0
+
+
+def trial(chosen: dict[str, Any], out: Console) -> int:
+    from ..lab import trials
+    scenario = read(chosen["SCENARIO"])
+    seed = number(chosen, "--seed", 0, 1 << 62) if chosen["--seed"] else scenario.seed
+    with Shown(scenario.name) as progress:
+        result, breaches = trials.play(scenario, seed, chosen["--record"], chosen["--logs"], progress)
+    for note in result.notes:
+        out.print(note)
+    out.print(day_table(result))
+    save(chosen["--json"], result)
+    chart(chosen["--chart"], out, [runs.Option(scenario.name, [result], {}, breaches)])
+    return int(say_breaches(out, breaches, result.breaches))
+
+
+def record_show(chosen: dict[str, Any], out: Console) -> int:
+    result, breaches = runs.judge(chosen["FILE"])
+    for note in result.notes:
+        out.print(note)
+    out.print(day_table(result))
+    save(chosen["--json"], result)
+    return int(say_breaches(out, breaches, result.breaches))
+
+
+def record_import(chosen: dict[str, Any], out: Console) -> int:
+    start = number(chosen, "--start", 0, 1 << 50) if chosen["--start"] else None
+    found = imports.from_csv(chosen["CSV"], chosen["FILE"], start)
+    out.print(f"{found.lines} arrivals over {found.span / 10_000:.1f} s; {found.skipped} lines skipped"
+              + (f" (first: {found.first_problem})" if found.skipped else "")
+              + f"; {found.steps_back} steps back of the clock; longest gap {found.longest_gap / 10_000:.1f} s")
+    return 0
+
+
+def record_fit(chosen: dict[str, Any], out: Console) -> int:
+    fitted = fits.fit(chosen["FILE"], number(chosen, "--draws", 2, 1000))
+    table = Table(title=f"fitted from {chosen['FILE']}")
+    for column in ("workload", "shots", "mean ms [95%]", "cv", "note"):
+        table.add_column(column, justify="left" if column in ("workload", "note") else "right")
+    for each in fitted.workloads:
+        low, high = each.mean_bar
+        table.add_row(each.name, str(each.shots), f"{each.mean_ms:.2f} [{low:.2f}, {high:.2f}]", f"{each.cv:.2f}", each.note)
+    out.print(table)
+    for each in fitted.builds:
+        out.print(f"build {each.build}: work x {each.pace:.3f} [{each.pace_bar[0]:.3f}, {each.pace_bar[1]:.3f}], errors "
+                  f"{each.errors:.4f} [{each.errors_bar[0]:.4f}, {each.errors_bar[1]:.4f}], {each.shots} shots")
+    save(chosen["--json"], fitted)
+    return 0
--- /dev/null
+++ b/tealsail/command/main.py
@@ -0,0 +1,76 @@
+"""The command line's sub-commands."""
+import os
+import sys
+
+from docopt import DocoptExit, docopt
+
+from .. import __version__
+
+USAGE = """tealsail: a front tier that watches over software updates.
+
+Usage:
+  tealsail serve [--log-level=LEVEL]
+  tealsail check
+  tealsail version
+  tealsail model run SCENARIO [--replicas=N] [--jobs=N] [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE]
+  tealsail model compare A B [--replicas=N] [--jobs=N] [--json=FILE] [--chart=FILE]
+  tealsail model check A B [--replicas=N] [--repeats=N] [--jobs=N] [--json=FILE] [--chart=FILE] [--keep=DIR]
+  tealsail model cost [--json=FILE] [--chart=FILE]
+  tealsail trial SCENARIO [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE] [--logs=DIR]
+  tealsail record show FILE [--json=FILE]
+  tealsail record import CSV FILE [--start=MS]
+  tealsail record fit FILE [--draws=N] [--json=FILE]
+  tealsail (-h | --help)
+
+The relay:
+  serve          Run one relay, as EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONFIG tell it.
+  check          Read the same configuration, print what would be served, and end.
+  version        Print the version.
+
+The fleet model (needs requirements-lab.txt):
+  model run      Play a scenario in virtual time, on days of different seeds; figures with their bars.
+  model compare  Two scenarios on the same days; the differences, and which is better or can't tell.
+  model check    Model both, then play both for real, and say whether each real figure lies in its bar.
+                 Exit code 1 if one does not.
+  model cost     What the model costs for more relays and more units.
+  trial          Play a scenario for real: relay processes on loopback addresses.
+  record show    Figures and broken rules of a record.
+  record import  A record of arrivals from CSV (columns: at_ms,workload,customer,key).
+  record fit     What units are like, from a record, with the uncertainty of it.
+
+Options:
+  --log-level=LEVEL  debug, info, warning or error [default: info].
+  --replicas=N       Days of different seeds [default: 10].
+  --repeats=N        Real days of each option [default: 1].
+  --jobs=N           Processes; 0: one a core [default: 0].
+  --draws=N          Bootstrap draws of a fit [default: 20].
+  --seed=N           One day of that seed instead of the scenario's.
+  --start=MS         Unix time of the record's zero in milliseconds, if not the first line's.
+  --record=FILE      Write the record there (.gz: packed).
+  --json=FILE        Write the figures there too.
+  --chart=FILE       Draw a PNG.
+  --logs=DIR         Keep the relays' logs there.
+  --keep=DIR         Keep the real days' records there.
+  -h --help          Show this.
+"""
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Returns the exit code: 0, 1 for a day on which something is wrong, 2 for what can't be used."""
+    try:
+        chosen = docopt(USAGE, argv=arguments)
+    except DocoptExit as problem:
+        print(problem, file=sys.stderr)
+        return 2
+    if chosen["version"]:
+        print(f"tealsail {__version__}")
+        return 0
+    if chosen["serve"] or chosen["check"] and not chosen["model"]:
+        from . import serve
+        return serve.run(chosen, os.environ)
+    try:
+        from . import lab
+    except ModuleNotFoundError as missing:
+        print(f"tealsail: {missing.name} is not installed: pip install -r requirements-lab.txt", file=sys.stderr)
+        return 2
+    return lab.run(chosen)
--- a/tealsail/net/command.py
+++ b/tealsail/command/serve.py
@@ -1,45 +1,22 @@
-"""The command line."""
+"""One relay in the foreground, from its start to its end."""
 import os
 import signal
 import sys
+from collections.abc import Mapping
 from typing import Any
 
-from docopt import DocoptExit, docopt
 from loguru import logger
 from twisted.internet.error import CannotListenError
 from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
-from .. import __version__
-from .counters import Counters
-from .relay import Relay
-from .start import BadStart, read, read_again
+from ..net.counters import Counters
+from ..net.relay import Relay
+from ..net.start import BadStart, read, read_again
 
-USAGE = """tealsail: a front tier that watches over software updates.
-
-Usage:
-  tealsail serve [--log-level=LEVEL]
-  tealsail check
-  tealsail version
-  tealsail (-h | --help)
-
-Commands:
-  serve    Run one relay, as EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONFIG tell it.
-  check    Read the same configuration, print what would be served, and end.
-  version  Print the version.
-
-Options:
-  --log-level=LEVEL  debug, info, warning or error [default: info].
-  -h --help          Show this.
-"""
-
-
-def main(arguments: list[str] | None = None) -> int:
+def run(chosen: dict[str, Any], environment: Mapping[str, str]) -> int:
+    """`serve` and `check`; returns the exit code."""
     try:
-        chosen = docopt(USAGE, argv=arguments)
-        if chosen["version"]:
-            print(f"tealsail {__version__}")
-            return 0
-        told = read(os.environ)
+        told = read(environment)
         if chosen["check"]:
             print(f"{told.name}: listens at {told.listen}; {len(told.known.entries)} units known; "
                   f"{len(told.facts['workloads'])} workloads; {len(told.peers)} relays")
@@ -48,8 +25,6 @@
         logger.add(sys.stderr, level=chosen["--log-level"].upper(), backtrace=False, diagnose=False,
                    format="{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {message}")
         return serve(told)
-    except DocoptExit as problem:
-        print(problem, file=sys.stderr)
     except (BadStart, CannotListenError, ValueError) as problem:
         print(f"tealsail: {' '.join(str(problem).split())}", file=sys.stderr)
     return 2
--- /dev/null
+++ b/tealsail/lab/charts.py
@@ -0,0 +1,90 @@
+"""Charts as PNG files: service over time with bars, latency curves, what the model costs."""
+from collections.abc import Sequence
+from pathlib import Path
+
+import matplotlib
+import numpy
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402
+
+from .bars import student  # noqa: E402
+from .figures import PARTS, Result  # noqa: E402
+from .runs import Option  # noqa: E402
+
+COLOURS = ("#2458a6", "#c2501e", "#3c8031", "#7a3b93")
+SMOOTH = 3                                       # seconds of a line's running mean
+
+
+def over_time(results: Sequence[Result]) -> tuple[numpy.ndarray, numpy.ndarray]:
+    """Service by second of each day (days x seconds), smoothed, and the seconds."""
+    most = min(len(each.series["service"]) for each in results)
+    rows = numpy.array([each.series["service"][:most] for each in results])
+    kernel = numpy.ones(SMOOTH) / SMOOTH
+    padded = numpy.pad(rows, ((0, 0), (SMOOTH // 2, SMOOTH // 2)), mode="edge")
+    return numpy.array([numpy.convolve(row, kernel, "valid") for row in padded]), numpy.arange(most)
+
+
+def latency_axis(axis: "pyplot.Axes") -> None:
+    """Percentiles on the usual log axis of nines."""
+    places = [0.5, 0.9, 0.99, 0.999, 0.9999]
+    axis.set_xscale("log")
+    axis.set_xticks([1 / (1 - each) for each in places], [f"{each * 100:g}%" for each in places])
+    axis.minorticks_off()
+    axis.set_yscale("log")
+    axis.set_xlabel("percentile of those served")
+    axis.set_ylabel("latency, ms, from the intended send")
+
+
+def draw_latency(axis: "pyplot.Axes", result: Result, colour: str, label: str, style: str = "-") -> None:
+    points = [(1 / (1 - part), each) for part, each in zip(PARTS, result.curve) if 0.5 <= part < 1]
+    if points:
+        axis.plot(*zip(*points), style, color=colour, label=label)
+
+
+def options(path: Path | str, shown: Sequence[Option], real: Sequence[Sequence[Result]] = ()) -> None:
+    """Service over time and latency of each option, model days as bands, real days as dashed lines."""
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(13, 4.6), width_ratios=(3, 2))
+    lowest = 1.0
+    for place, option in enumerate(shown):
+        colour = COLOURS[place % len(COLOURS)]
+        rows, seconds = over_time(option.results)
+        mean = rows.mean(axis=0)
+        left.plot(seconds, mean, color=colour, label=f"{option.name} (model, {len(rows)} days)")
+        if len(rows) > 1:
+            reach = student(0.95, len(rows) - 1) * rows.std(axis=0, ddof=1)
+            left.fill_between(seconds, numpy.clip(mean - reach, 0, 1), numpy.clip(mean + reach, 0, 1), color=colour,
+                              alpha=0.15, linewidth=0)
+            lowest = min(lowest, float(numpy.clip(mean - reach, 0, 1).min()))
+        lowest = min(lowest, float(mean.min()))
+        draw_latency(right, option.results[0], colour, option.name)
+        for number, result in enumerate(real[place] if place < len(real) else ()):
+            row, seconds = over_time([result])
+            left.plot(seconds, row[0], "--", color=colour, linewidth=1, label=None if number else f"{option.name} (real)")
+            lowest = min(lowest, float(row.min()))
+            draw_latency(right, result, colour, "" if number else f"{option.name} (real)", "--")
+    left.set_ylim(max(0.0, lowest - 0.05), 1.01)
+    left.set_xlabel("second of the day")
+    left.set_ylabel("service: payoff within the promise / asked")
+    latency_axis(right)
+    for axis in (left, right):
+        axis.grid(alpha=0.3)
+        axis.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
+
+
+def cost(path: Path | str, tables: dict[str, list[tuple[int, float]]]) -> None:
+    """Microseconds of CPU an invocation over relays and over units."""
+    figure, axes = pyplot.subplots(1, len(tables), figsize=(5 * len(tables), 4), sharey=True)
+    for axis, (name, points), colour in zip(numpy.atleast_1d(axes), tables.items(), COLOURS):
+        axis.plot(*zip(*points), "o-", color=colour)
+        axis.set_xscale("log")
+        axis.set_ylim(bottom=0)
+        axis.set_xlabel(name)
+        axis.grid(alpha=0.3)
+    numpy.atleast_1d(axes)[0].set_ylabel("microseconds of CPU an invocation")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -137,8 +137,8 @@
 class Unit:
     """A unit as this relay sees it.  A new start or another build makes a new Unit, cold again."""
 
-    def __init__(self, number: int, build: int, started: int, even: float) -> None:
-        self.number, self.build, self.started = number, build, started
+    def __init__(self, number: int, build: int, started: int, even: float, order: int) -> None:
+        self.number, self.build, self.started, self.order = number, build, started, order    # its place in a row
         self.credit, self.even = 1.0, even       # what it may get while cold, and up to when that is summed
         self.weight, self.open, self.zone, self.cell = 1.0, True, 0, 0
         self.out, self.waiting = 0, 0            # our shots out there, and since when with no answer at all
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -143,10 +143,19 @@
 
     def weigh(self) -> None:
         relay, (old, new) = self.relay, self.relay.rows
-        able = [[(unit.weight, relay.warmth(unit)) for unit in row] for row in (old, new)]
-        relay.warm_room = sum(weight for row in able for weight, warmth in row if warmth >= 1)
-        others, mine = (sum(weight * warmth for weight, warmth in row) or 0.01 for row in able)
-        cold = [sum(weight * warmth for weight, warmth in row if warmth < 1) / relay.room for row in able]
+        relay.warm_room, able, cold = 0, [], []
+        for row in (old, new):                   # one pass: there may be thousands, each beat
+            can, chill = 0, 0
+            for unit in row:
+                warmth = relay.warmth(unit) if unit.started else 1.0
+                if warmth >= 1:
+                    relay.warm_room += unit.weight
+                else:
+                    chill += unit.weight * warmth
+                can += unit.weight * warmth
+            able.append(can or 0.01)
+            cold.append(chill / relay.room)
+        others, mine = able
         relay.cold_share = [(each / 2, each * (others + mine) / room)    # if drawn for the other row, or this
                             for each, room in zip(cold, (others, mine))]
         slow, usual = (sum(unit.pace for unit in row) / max(1, len(row)) for row in (new, old))
@@ -533,7 +542,7 @@
 
     def arrange(self) -> None:
         """The units of earlier builds and those on trial, in this relay's own order; not for every shot."""
-        ordered = sorted(self.units.values(), key=lambda unit: mix(self.index, unit.number))
+        ordered = sorted(self.units.values(), key=lambda unit: unit.order)
         self.room = sum(unit.weight for unit in ordered) or 0.01
         self.rows = tuple([unit for unit in ordered if self.on_trial(unit.build) == new] for new in (0, 1))
         self.trial.weigh()
@@ -552,7 +561,7 @@
         for number, build, state, zone, cell, weight, started in entries:
             unit = self.units.get(number)
             if unit is None or unit.build != build or unit.started < started:
-                unit = Unit(number, build, started, self.gate.even)
+                unit = Unit(number, build, started, self.gate.even, mix(self.index, number))
             unit.weight, unit.open, unit.zone, unit.cell = max(weight, 0.01), state == "open", zone, cell
             kept[number] = unit
         self.units = {number: unit for number, unit in kept.items() if unit.open}
@@ -604,9 +613,11 @@
             self.host.wake(due if self.now < due < after else after, self.WAKE_BEAT)
             self.known = {number: each for number, each in self.known.items() if not each.over or each.out()}
             self.patience = max([self.admission.patience(each) for each in self.workloads], default=SECOND)
-            self.admission.stuck = sum(unit.out for unit in self.units.values() if not self.choice.fit(unit))
+            busy = (unit for unit in self.units.values() if unit.out)
+            self.admission.stuck = sum(unit.out for unit in busy if not self.choice.fit(unit))
             for unit in self.units.values():     # what is not tried again is slowly forgiven
-                unit.pace, unit.failing = unit.pace + 0.03 * (1 - unit.pace), 0.97 * unit.failing
+                if unit.failing or unit.pace != 1:
+                    unit.pace, unit.failing = unit.pace + 0.03 * (1 - unit.pace), 0.97 * unit.failing
             self.trial.lately = [count * (1 if self.rows[1] else 0.92) for count in self.trial.lately]
             self.choice.few = max(self.choice.FEW, 0.99 * self.choice.few)
             self.judge.consider()
