Trials: the world's machines behind sockets on loopback, against real relay processes

Need: a model is worth what a real run says of it. A trial runs in a process of its own, writes the same record, checks the same rules, and is void where it ran late itself.

--- /dev/null
+++ b/tealsail/lab/loopback/clients.py
@@ -0,0 +1,169 @@
+"""Clients on sockets: arrivals at their times whatever the answers do, over connections as clients keep them."""
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from ...net import messages
+from ...record.lines import End, Take
+from ...world.clients import Arrival
+
+if TYPE_CHECKING:
+    from .theatre import Theatre
+
+JOIN = 2.0                                       # seconds to connect in
+PATIENCE = 2_000                                 # tenths of a ms beyond the abandon time: then a client closes
+REJECTED = (b"53300", b"57P03")
+
+
+def statement(arrival: Arrival, workload: str, effect: str, customer: str, wait: int) -> bytes:
+    """As a client words it; `wait` in milliseconds."""
+    fields = f"id={arrival.number},c={workload}" + (f",t={customer}" if customer else "") + f",d={wait}" \
+        + (",r=1" if arrival.repeat else "")
+    if effect == "harmless":
+        return f"SELECT content FROM kv WHERE name = '{arrival.key}' /* {fields} */".encode()
+    return (f"INSERT INTO kv (name, content) VALUES ('{arrival.key}', '\\x9f03') RETURNING content "
+            f"/* {fields} */").encode()
+
+
+class Asking(Protocol):
+    """One connection of a client: set up, idle, or with one invocation out."""
+
+    def __init__(self, crowd: "Crowd", relay: int) -> None:
+        self.crowd, self.relay, self.splitter = crowd, relay, messages.Splitter(typed=True)
+        self.ready = False
+        self.arrival: Arrival | None = None
+        self.answer, self.come_back = "", 0
+        self.timer: Any = None
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(messages.startup(b"backend", b"store"))
+
+    def ask(self, arrival: Arrival) -> None:
+        """May be called before the greeting has come: the query goes right behind the startup."""
+        crowd, theatre = self.crowd, self.crowd.theatre
+        now = theatre.now()
+        self.arrival, self.answer, self.come_back = arrival, "", 0
+        theatre.tell(Take(now, self.relay, arrival.number, arrival.intended, arrival.workload, arrival.customer,
+                          arrival.key, arrival.give_up, arrival.first))
+        crowd.lateness.append(now - arrival.at)
+        wait = max(1, (arrival.give_up - now) // 10)
+        each = theatre.scenario.workload[arrival.workload]
+        self.transport.write(messages.query(statement(arrival, each.name, each.effect,
+                                                      theatre.whose[arrival.customer], wait)))
+        self.timer = theatre.reactor.callLater(max(0.0, theatre.seconds(arrival.give_up + PATIENCE)
+                                                   - theatre.reactor.seconds()), self.leave)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.splitter.feed(data)
+        try:
+            for kind, body in self.splitter:
+                self.came(messages.from_unit(kind, body))
+        except messages.Unreadable as problem:
+            self.crowd.theatre.wrong(f"a relay answered what can't be read: {problem}")
+            self.transport.abortConnection()
+
+    def came(self, what: Any) -> None:
+        match what:
+            case messages.Row(body):
+                self.answer = "wrong" if body.endswith(b"\x00") else "served"
+            case messages.Trouble(code, _):
+                self.answer = "rejected" if code in REJECTED else "forfeited"
+            case messages.Ready() if not self.ready:
+                self.ready = True
+                if not self.arrival:
+                    self.crowd.free(self)
+            case messages.Ready() if self.arrival:
+                self.finish(self.answer or "lost")
+                self.crowd.free(self)
+
+    def finish(self, answer: str) -> None:
+        arrival, self.arrival = self.arrival, None
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        if arrival:
+            self.crowd.ended(self.relay, arrival, answer, self.come_back)
+
+    def leave(self) -> None:
+        """It waits no longer."""
+        self.finish("left")
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
+        idle = self.crowd.idle[self.relay]
+        if self in idle:
+            idle.remove(self)
+        self.finish("lost")
+
+
+class Crowd:
+    """All clients.  Connections are kept by relay, the one used last first; when all are busy one more is opened."""
+
+    def __init__(self, theatre: "Theatre") -> None:
+        self.theatre, self.idle = theatre, [[] for _ in range(theatre.relays)]
+        self.open = 0                            # invocations without an answer, and repeats to come
+        self.lateness: list[int] = []            # tenths of a ms, of each arrival
+        self.timer: Any = None
+
+    def begin(self) -> None:
+        due = self.theatre.day.clients.due
+        if due is not None:
+            wait = max(0.0, self.theatre.seconds(due) - self.theatre.reactor.seconds())
+            self.timer = self.theatre.reactor.callLater(wait, self.arrive)
+        else:
+            self.timer = None
+
+    def arrive(self) -> None:
+        """All that are due by now; what is late counts from its intended time all the same."""
+        theatre, clients = self.theatre, self.theatre.day.clients
+        while clients.due is not None and clients.due <= theatre.now():
+            self.serve(clients.next())
+        self.begin()
+
+    def serve(self, arrival: Arrival) -> None:
+        theatre = self.theatre
+        self.open += 1
+        for step in range(theatre.relays):
+            relay = (arrival.relay + step) % theatre.relays
+            if theatre.troupe.up(relay):
+                break
+        else:
+            return self.unserved(relay, arrival)
+        idle = self.idle[relay]
+        while idle:
+            asking = idle.pop()
+            if asking.transport.connected:
+                return asking.ask(arrival)
+        place = theatre.addresses.relay(relay)
+        asking = Asking(self, relay)
+        joined = connectProtocol(TCP4ClientEndpoint(theatre.reactor, place.host, place.port, JOIN), asking)
+        joined.addCallbacks(lambda _: asking.ask(arrival), lambda _: self.unserved(relay, arrival))
+
+    def unserved(self, relay: int, arrival: Arrival) -> None:
+        """No relay could be reached: the try counts as asked for, and no relay has lost it."""
+        now = self.theatre.now()
+        self.theatre.tell(Take(now, relay, arrival.number, arrival.intended, arrival.workload, arrival.customer,
+                               arrival.key, arrival.give_up, arrival.first))
+        self.ended(relay, arrival, "lost", 0)
+
+    def free(self, asking: Asking) -> None:
+        self.idle[asking.relay].append(asking)
+
+    def ended(self, relay: int, arrival: Arrival, answer: str, come_back: int) -> None:
+        theatre = self.theatre
+        theatre.tell(End(theatre.now(), relay, arrival.number, answer))
+        if answer == "lost" and theatre.troupe.up(relay):
+            theatre.lost_alive.append(arrival.number)
+        self.open -= 1
+        again = theatre.day.clients.answered(theatre.now(), arrival, answer, come_back)
+        if again:
+            self.open += 1
+            theatre.reactor.callLater(max(0.0, theatre.seconds(again.at) - theatre.reactor.seconds()),
+                                      self.again, again)
+
+    def again(self, arrival: Arrival) -> None:
+        self.open -= 1
+        self.serve(arrival)
--- /dev/null
+++ b/tealsail/lab/trials.py
@@ -0,0 +1,63 @@
+"""Trials: a scenario played for real in a process of its own, and what came of it."""
+import json
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..world.rules import Breach
+from .figures import Result
+from .scenario import Scenario
+
+MORE = 90.0                                      # seconds beyond the day's length: then a trial is ended
+
+
+class Void(ValueError):
+    """A trial that can't be judged, in one sentence."""
+
+
+def play(scenario: Scenario, seed: int, record: Path | str | None = None, logs: Path | str | None = None,
+         progress: Callable[[int, int], None] | None = None) -> tuple[Result, list[Breach]]:
+    """Real relays on loopback for the length of the scenario.  Raises Void where the trial itself ran late or broke."""
+    with tempfile.TemporaryDirectory() as folder:
+        kept = Path(logs) if logs else Path(folder)
+        kept.mkdir(parents=True, exist_ok=True)
+        told = {"scenario": scenario.plain(), "seed": seed, "folder": str(kept),
+                "record": str(Path(record).absolute()) if record else ""}
+        process = subprocess.Popen([sys.executable, "-B", "-m", "tealsail.lab.loopback.theatre"],
+                                   stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        ticking = threading.Event()
+        if progress:
+            threading.Thread(target=ticks, args=(ticking, progress, scenario.seconds), daemon=True).start()
+        try:
+            out, errors = process.communicate(json.dumps(told).encode(), timeout=scenario.seconds + MORE)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.communicate()
+            raise Void(f"{scenario.name}: the trial did not end by itself") from None
+        finally:
+            ticking.set()
+    if process.returncode or not out:
+        raise Void(f"{scenario.name}: the trial broke: {errors.decode(errors='replace').strip()[-400:]}")
+    return read(scenario, json.loads(out))
+
+
+def read(scenario: Scenario, tree: dict[str, Any]) -> tuple[Result, list[Breach]]:
+    result = msgspec.convert(tree["result"], Result)
+    if tree["void"]:
+        raise Void(f"{scenario.name}: the trial ran late itself: one arrival in a hundred by {result.late_ms:.1f} ms; "
+                   "it is not judged")
+    breaches = [Breach(*each) for each in tree["breaches"]]
+    return result, breaches + [Breach(0, "problems", text) for text in tree["problems"][:10]]
+
+
+def ticks(ticking: threading.Event, progress: Callable[[int, int], None], seconds: float) -> None:
+    start = time.monotonic()
+    while not ticking.wait(0.5):
+        progress(int(min(seconds, time.monotonic() - start)), int(seconds))
--- a/tealsail/lab/virtual.py
+++ b/tealsail/lab/virtual.py
@@ -10,8 +10,8 @@
                       Step, Units)
 from ..net.relay import number_of
 from ..parts import mix
-from ..record.lines import VERSION, Came, End, Head, Life, Line, Log, News, Ran, Told
-from ..record.lines import Shot as ShotLine, Take
+from ..record.lines import (VERSION, Came, Done, End, Head, Life, Line, Log, News, Ran, Shot as ShotLine, Take,
+                            Told)
 from ..world.clients import Arrival
 from ..world.day import Day
 from ..world.roster import Entry
@@ -333,6 +333,7 @@
             said, unit.said = unit.said, []
             network, now = self.day.network, self.now
             for (door, out), outcome in said:
+                self.tell(Done(now, door.index, out.serving.arrival.number, out.place, unit.name, outcome))
                 if not out.over and network.reaches(now, door.index, unit.name, unit.zone):
                     self.later(now + network.way(door.index, unit.zone), door.came, out, outcome)
         if unit.fell and unit.name in self.day.fleet.units and not unit.told_fallen:
--- a/tealsail/record/lines.py
+++ b/tealsail/record/lines.py
@@ -74,6 +74,15 @@
     work: int
 
 
+class Done(Line, tag="done"):
+    """A unit gave its answer: served, wrong, error, full or reset."""
+    relay: int
+    number: int
+    place: int
+    unit: str
+    outcome: str
+
+
 class Unit(Line, tag="unit"):
     """A unit's life, by `event`: launched, runs, drains, dies, fell, gone, hangs, silent, mends.  `capacity`: cores
     times speed; from `cold_from` of that it warms evenly over `warm_up`."""
@@ -144,7 +153,7 @@
     late: int = 0
 
 
-Any_Line = Union[Head, Take, Shot, Came, End, Ran, Unit, Told, News, Vote, Stage, Life, Fault, Log, Close]
+Any_Line = Union[Head, Take, Shot, Came, End, Ran, Done, Unit, Told, News, Vote, Stage, Life, Fault, Log, Close]
 ENCODER, DECODER = msgspec.json.Encoder(), msgspec.json.Decoder(Any_Line)
 
 
