--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -17,7 +17,7 @@
 from ..world.rules import Breach
 
 FEWEST, MOST = 1, 1000                           # replicas
-WIDTH = 110                                      # of tables that go to a file or a pipe
+WIDTH = 140                                      # of tables that go to a file or a pipe
 
 
 def run(chosen: dict[str, Any]) -> int:
--- /dev/null
+++ b/tealsail/lab/fits.py
@@ -0,0 +1,242 @@
+"""Fits the model's parameters from a record, each with bootstrap draws of it, so that bars hold what is not known.
+
+Work by workload: the quantiles of what was seen where there is enough of it, else a lognormal by maximum likelihood.
+Where a record has the unit's own lines (ran, done) the time between them counts, of shots that found less than a core's
+worth of company at their start; where it has a relay's alone, that of shots that found their unit without any other.
+Cold units are left out.  A build's pace is the ratio of its mean to that of the build before, workload by workload.
+The overhead is what the relay and the sockets add: from a client's sending to the unit, and from the unit to the client.
+"""
+from collections import deque
+from math import exp, log, sqrt
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy
+
+from ..record.files import read
+from ..record.lines import Came, Done, End, Head, Ran, Shot, Take, Told, Unit
+from ..world.draws import POINTS
+from .scenario import BadScenario, Scenario, convert, over
+
+FEW, ENOUGH = 200, 400                           # shots: fewer are said to be few; from so many quantiles count
+MOST = 200_000                                   # values kept of one workload and build
+QUANTILES = 129                                  # of a fitted table
+OVERHEADS = 20_000
+
+
+class WorkloadFit(msgspec.Struct):
+    """Milliseconds; `draws` holds a quantile table for each bootstrap draw."""
+    name: str
+    shots: int
+    mean_ms: float
+    mean_bar: tuple[float, float]
+    cv: float
+    note: str
+    quantiles_ms: list[float]
+    draws: list[list[float]]
+
+
+class BuildFit(msgspec.Struct):
+    """Against the first build of the record."""
+    build: int
+    shots: int
+    pace: float
+    pace_bar: tuple[float, float]
+    paces: list[float]
+    errors: float
+    errors_bar: tuple[float, float]
+    shares: list[float]
+
+
+class Fit(msgspec.Struct):
+    """`there_ms` and `back_ms`: what the relay and the sockets add, on the way to a unit and back (0: not known)."""
+    source: str
+    version: int
+    workloads: list[WorkloadFit]
+    builds: list[BuildFit]
+    there_ms: float = 0.0
+    back_ms: float = 0.0
+
+
+class Seen:
+    """Collects what a fit needs, from a record's lines, in bounded memory."""
+
+    def __init__(self) -> None:
+        self.head: Head | None = None
+        self.times: dict[tuple[int, int], list[int]] = {}        # workload and build -> tenths of a ms
+        self.answers: dict[int, list[int]] = {}  # build -> answers, errors
+        self.workload: dict[tuple[int, int], tuple[int, int]] = {}       # relay, number -> workload, taken at
+        self.out: dict[tuple[int, int, int], tuple[str, int, int, bool]] = {}    # shot -> unit, build, sent, alone
+        self.at_unit: dict[str, int] = {}
+        self.warm_from: dict[str, int] = {}
+        self.builds: dict[str, int] = {}
+        self.own = False                         # the record has the units' own lines
+        self.warm_up, self.cores = 0, 1.0
+        self.there: deque[int] = deque(maxlen=OVERHEADS)
+        self.back: deque[int] = deque(maxlen=OVERHEADS)
+        self.given: dict[tuple[int, int], int] = {}
+
+    def __call__(self, line: Any) -> None:
+        match line:
+            case Head():
+                self.head = line
+                self.warm_up = int(line.facts.get("warm_up", 0))
+                self.cores = float(line.day.get("unit", {}).get("cores", 1.0))
+            case Unit(at, unit, build, _, "runs"):
+                self.warm_from[unit], self.builds[unit] = (at + self.warm_up if at else 0), build
+                self.at_unit[unit] = 0
+            case Told(_, _, unit, build, "open", started) if not self.own:
+                self.warm_from[unit], self.builds[unit] = (started + self.warm_up if started else 0), build
+            case Take(at, relay, number, _, workload):
+                self.workload[relay, number] = workload, at
+            case Shot(at, relay, number, place, unit, build) if not self.own:
+                self.began((relay, number, place), at, unit, build)
+            case Ran(at, relay, number, place, unit):
+                if not self.own:                 # what relays sent before does not count in their own lines
+                    self.own, self.out, self.at_unit = True, {}, {}
+                self.began((relay, number, place), at, unit, self.builds.get(unit, 0))
+                taken = self.workload.get((relay, number))
+                if taken and place == 0:
+                    self.there.append(at - taken[1])
+            case Done(at, relay, number, place, _, outcome):
+                self.ended((relay, number, place), at, outcome)
+                self.given[relay, number] = at
+            case Came(at, relay, number, place, outcome):
+                if not self.own or (relay, number, place) in self.out:
+                    self.ended((relay, number, place), at, outcome)
+            case End(at, relay, number, answer):
+                self.workload.pop((relay, number), None)
+                given = self.given.pop((relay, number), None)
+                if given is not None and answer in ("served", "wrong"):
+                    self.back.append(at - given)
+
+    def began(self, shot: tuple[int, int, int], at: int, unit: str, build: int) -> None:
+        beside = self.at_unit.get(unit, 0)
+        self.at_unit[unit] = beside + 1
+        alone = beside + 1 <= max(1.0, self.cores / 2 if self.own else 1.0) and at >= self.warm_from.get(unit, 0)
+        self.out[shot] = unit, build, at, alone
+
+    def ended(self, shot: tuple[int, int, int], at: int, outcome: str) -> None:
+        begun = self.out.pop(shot, None)
+        if begun is None:
+            return
+        unit, build, sent, alone = begun
+        self.at_unit[unit] = max(0, self.at_unit.get(unit, 1) - 1)
+        if outcome in ("served", "wrong", "error"):
+            counts = self.answers.setdefault(build, [0, 0])
+            counts[0] += 1
+            counts[1] += outcome == "error"
+        taken = self.workload.get(shot[:2])
+        if outcome in ("served", "wrong") and alone and taken:
+            kept = self.times.setdefault((taken[0], build), [])
+            if len(kept) < MOST:
+                kept.append(max(1, at - sent))
+
+
+def quantiles(values: numpy.ndarray, likely: bool) -> list[float]:
+    """Milliseconds, at even steps; by the values themselves, or (`likely`) by the lognormal most likely for them."""
+    parts = numpy.linspace(0, 1, QUANTILES)
+    if not likely:
+        return [round(float(each) / 10, 4) for each in numpy.quantile(values, parts)]
+    logs = numpy.log(values)
+    centre, spread = float(logs.mean()), float(logs.std())
+    from statistics import NormalDist
+    normal = NormalDist(centre, max(spread, 1e-6))
+    edge = 0.25 / POINTS
+    return [round(exp(normal.inv_cdf(min(max(float(part), edge), 1 - edge))) / 10, 4) for part in parts]
+
+
+def interval(values: list[float]) -> tuple[float, float]:
+    """The middle 95% of bootstrap draws."""
+    return float(numpy.quantile(values, 0.025)), float(numpy.quantile(values, 0.975))
+
+
+def fit(path: Path | str, draws: int = 20, seed: int = 1) -> Fit:
+    """Raises Unreadable for no record, ValueError for one in which nothing was served."""
+    seen = Seen()
+    for line in read(path):
+        seen(line)
+    if not seen.times:
+        raise ValueError(f"{path}: no shot was served alone at a warm unit: nothing to fit")
+    chance = numpy.random.default_rng(seed)
+    base = min(build for _, build in seen.times)
+    names = [each.get("name", str(place)) for place, each in enumerate(seen.head.facts.get("workloads", []))]
+    workloads = []
+    for place, name in enumerate(names):
+        values = numpy.array(seen.times.get((place, base), []), dtype=float)
+        if not len(values):
+            continue
+        likely = len(values) < ENOUGH
+        again = [values[chance.integers(0, len(values), len(values))] for _ in range(draws)]
+        note = f"few shots: wide; a lognormal by maximum likelihood" if likely and len(values) < FEW else \
+            "a lognormal by maximum likelihood" if likely else "as seen"
+        workloads.append(WorkloadFit(
+            name, len(values), round(float(values.mean()) / 10, 4),
+            interval([float(each.mean()) / 10 for each in again]), float(values.std() / values.mean()), note,
+            quantiles(values, likely), [quantiles(each, likely) for each in again]))
+    builds = [build_fit(seen, build, base, draws, chance) for build in sorted(seen.answers) if build != base]
+    return Fit(str(path), 1, workloads, [each for each in builds if each],
+               float(numpy.median(seen.there)) / 10 if seen.there else 0.0,
+               float(numpy.median(seen.back)) / 10 if seen.back else 0.0)
+
+
+def build_fit(seen: Seen, build: int, base: int, draws: int, chance: numpy.random.Generator) -> BuildFit | None:
+    """Pace over the workloads that both builds served, weighted by the root of the shots there are."""
+    pairs = [(numpy.array(values, dtype=float), numpy.array(seen.times[place, base], dtype=float))
+             for (place, each), values in seen.times.items() if each == build and seen.times.get((place, base))]
+    if not pairs:
+        return None
+
+    def pace(resampled: bool) -> float:
+        ratio = weight = 0.0
+        for new, old in pairs:
+            if resampled:
+                new, old = (each[chance.integers(0, len(each), len(each))] for each in (new, old))
+            heavy = sqrt(len(new))
+            ratio, weight = ratio + heavy * log(new.mean() / old.mean()), weight + heavy
+        return exp(ratio / weight)
+
+    answers, bad = seen.answers[build]
+    paces = [round(pace(True), 4) for _ in range(draws)]
+    shares = [round(float(each), 6) for each in chance.beta(bad + 0.5, answers - bad + 0.5, draws)]
+    return BuildFit(build, sum(len(new) for new, _ in pairs), round(pace(False), 4), interval(paces), paces,
+                    round(bad / answers, 6), interval(shares), shares)
+
+
+def drawn(scenario: Scenario, many: int) -> list[Scenario]:
+    """So many replicas; where the scenario names a fit, each with a draw of its own of what was fitted."""
+    if not scenario.fit:
+        return [scenario] * many
+    fitted = load(scenario.fit)
+    return [applied(scenario, fitted, replica) for replica in range(many)]
+
+
+def load(path: str) -> Fit:
+    """Raises BadScenario."""
+    try:
+        return msgspec.json.decode(Path(path).read_bytes(), type=Fit)
+    except (OSError, msgspec.DecodeError, msgspec.ValidationError) as problem:
+        raise BadScenario(f"fit: {path}: {problem}") from None
+
+
+def applied(scenario: Scenario, fitted: Fit, draw: int) -> Scenario:
+    """The scenario with one draw of what was fitted: work by workload, builds marked `fitted`, and the overhead."""
+    works = {each.name: each for each in fitted.workloads}
+    builds = {each.build: each for each in fitted.builds}
+    tree = scenario.plain()
+    for workload in tree["workload"]:
+        each = works.get(workload["name"])
+        if each and each.draws:
+            workload["work"] = {"quantiles_ms": each.draws[draw % len(each.draws)]}
+    for build in tree["builds"]:
+        each = builds.get(build["number"])
+        if build["fitted"] and each is None:
+            raise BadScenario(f"builds: {build['number']} is not in the fit {scenario.fit}")
+        if build["fitted"]:
+            build |= {"pace": each.paces[draw % len(each.paces)], "errors": each.shares[draw % len(each.shares)]}
+    clients = {}
+    if fitted.there_ms:
+        clients = {"clients": {"there_ms": fitted.there_ms, "back_ms": fitted.back_ms},
+                   "network": {"near_ms": 0.0, "far_ms": 0.0, "handshake_ms": 0.0}}
+    return convert(over(tree, clients) | {"fit": ""}, scenario.name)
--- a/tealsail/lab/loopback/theatre.py
+++ b/tealsail/lab/loopback/theatre.py
@@ -11,6 +11,7 @@
 from ...world.unit import Unit
 from ..figures import Figures
 from ..scenario import Scenario, convert
+from ..traffic import clients_of
 from .addresses import Addresses
 from .agents import PING, ListAgent, PlatformAgent
 from .clients import Crowd
@@ -29,7 +30,7 @@
                  listeners: list[Callable[[Line], Any]]) -> None:
         self.reactor, self.scenario, self.seed, self.listeners = reactor, scenario, seed, listeners
         self.relays = scenario.fleet.relays
-        self.day = Day(scenario.parts(), seed)
+        self.day = Day(scenario.parts(), seed, clients_of(scenario, seed))
         self.workloads = {each.name: place for place, each in enumerate(scenario.workload)}
         self.whose = [each.name for each in scenario.customer] or [""]
         self.addresses = Addresses(self.relays)
--- a/tealsail/lab/scenario.py
+++ b/tealsail/lab/scenario.py
@@ -103,6 +103,9 @@
     repeats: Count = 0
     repeat_after_ms: Positive = 100.0
     marks: bool = True
+    there_ms: Time = 0.0                         # what the relay and its sockets add on the way to a unit
+    back_ms: Time = 0.0                          # and on the way back
+    trace: str = ""                              # a record whose first tries are sent in place of drawn ones
 
 
 class ListTable(Strict):
@@ -143,6 +146,7 @@
     wrong: Share = 0.0
     only: str = ""
     above: Annotated[float, Meta(ge=0)] = 0.0
+    fitted: bool = False                         # pace and errors as `fit` has them
     turns_s: tuple[Time, Time] = (0.0, 0.0)
 
 
@@ -153,6 +157,7 @@
     about: str = ""
     build: Annotated[int, Meta(ge=0, lt=65_535)] = 1             # what runs at the start
     script: str = ""
+    fit: str = ""                                # a file of `record fit --json`: work and overhead come from there
     fleet: FleetTable = FleetTable()
     unit: UnitTable = UnitTable()
     clients: ClientTable = ClientTable()
@@ -295,6 +300,9 @@
             tree = tomllib.load(file)
     except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
         raise BadScenario(f"{path}: {problem}") from None
+    for table, name in ((tree, "fit"), (tree.get("clients", {}), "trace")):
+        if isinstance(table, dict) and isinstance(table.get(name), str) and table[name]:
+            table[name] = str(path.parent / table[name])         # as seen from the file that names it
     base = tree.pop("base", None)
     if base is None:
         return tree
@@ -359,6 +367,8 @@
         wrong("script", str(problem))
     customers = [each.name for each in scenario.customer]
     for fault in faults:
+        if fault.kind == "surge" and scenario.clients.trace:
+            wrong("script", f"{fault.text!r}: recorded traffic can't surge")
         if fault.kind == "surge" and fault.who and fault.who not in customers:
             wrong("script", f"{fault.text!r}: no customer {fault.who}")
         if fault.zone and fault.zone not in scenario.fleet.zones:
--- a/tealsail/lab/virtual.py
+++ b/tealsail/lab/virtual.py
@@ -17,6 +17,7 @@
 from ..world.roster import Entry
 from ..world.unit import NEVER, Asked, Unit
 from .scenario import Scenario
+from .traffic import clients_of
 
 GRACE = 600_000                                  # tenths of a ms after the last arrival: then a day is cut off
 EVER = (1 << 62) - 1
@@ -24,12 +25,11 @@
 
 class Out:
     """A shot on its way, at a unit or on its way back."""
-    __slots__ = ("serving", "place", "unit", "name", "over", "connected")
+    __slots__ = ("serving", "place", "unit", "name", "over")
 
     def __init__(self, serving: "Serving", place: int, name: str) -> None:
         self.serving, self.place, self.name, self.over = serving, place, name, False
         self.unit: Unit | None = None
-        self.connected = False
 
 
 class Serving:
@@ -76,12 +76,10 @@
         if serving.over:
             return
         serving.over, model = True, self.model
-        model.open -= 1
-        model.tell(End(model.now, self.index, serving.arrival.number, answer))
-        again = model.day.clients.answered(model.now, serving.arrival, answer, come_back)
-        if again:
-            model.waiting += 1
-            model.later(again.at, model.again, again)
+        if model.back:
+            model.later(model.now + model.back, model.answered, self.index, serving.arrival, answer, come_back)
+        else:
+            model.answered(self.index, serving.arrival, answer, come_back)
 
     def shoot(self, serving: Serving, step: Shoot) -> None:
         model, now = self.model, self.model.now
@@ -106,8 +104,7 @@
                 wait = 3 * way                   # it proves itself by an empty query first
             else:
                 wait = 3 * way + model.parts.paths.handshake
-            out.connected = True
-            model.later(now + wait, model.reach, self, out, unit)
+            model.later(now + wait + model.there, model.reach, self, out, unit)
 
     def came(self, out: Out, outcome: str) -> None:
         """A shot has ended, for this relay."""
@@ -197,13 +194,14 @@
         self.now = self.events = self.count = 0
         self.heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.parts = scenario.parts()
-        self.day = Day(self.parts, seed)
+        self.day = Day(self.parts, seed, clients_of(scenario, seed))
         self.names = [each.name for each in scenario.workload]
         self.whose = [each.name for each in scenario.customer] or [""]
         self.zones = {name: place for place, name in enumerate(scenario.fleet.zones)}
         self.unit_names: dict[int, str] = {}
         self.connect_wait = int(scenario.network.connect_ms * 10)
         self.idle_time = int(scenario.network.idle_ms * 10)
+        self.there, self.back = int(scenario.clients.there_ms * 10), int(scenario.clients.back_ms * 10)
         self.news_wait = int(scenario.platform.news_ms * 10)
         self.open = self.waiting = 0             # invocations without an answer; repeats to come
         self.day_at = NEVER                      # when the day is woken next
@@ -298,6 +296,15 @@
         self.waiting -= 1
         self.serve(arrival)
 
+    def answered(self, relay: int, arrival: Arrival, answer: str, come_back: int) -> None:
+        """An answer has come to its client."""
+        self.open -= 1
+        self.tell(End(self.now, relay, arrival.number, answer))
+        again = self.day.clients.answered(self.now, arrival, answer, come_back)
+        if again:
+            self.waiting += 1
+            self.later(again.at, self.again, again)
+
     def serve(self, arrival: Arrival) -> None:
         """The front gives it to its relay, or to the next one that is up."""
         many = len(self.doors)
--- a/tealsail/world/day.py
+++ b/tealsail/world/day.py
@@ -41,14 +41,12 @@
 class Day:
     """All that is not a relay."""
 
-    def __init__(self, parts: Parts, seed: int) -> None:
-        self.parts, self.seed = parts, seed
+    def __init__(self, parts: Parts, seed: int, clients: Clients) -> None:
+        self.parts, self.seed, self.clients = parts, seed, clients
         self.fleet = Fleet(parts.layout, parts.kind, parts.builds, parts.works, parts.base, seed)
         self.roster = Roster(*parts.list_late, len(parts.relay_zones), seed)
         self.desk = Desk(parts.plan, parts.base)
         self.network = Network(parts.paths, parts.relay_zones, seed)
-        self.clients = Clients(parts.habits, parts.workloads, [each for _, each in parts.customers],
-                               len(parts.relay_zones), parts.span, seed)
         self.lines: list[Any] = []
         self.touched: dict[Unit, None] = {}
         self.rounds: list[int] = []
