Tests of the world, records, the checker, the model and trials; the hard cases in model and trial alike

Each hard case of the fleet model is provoked: builds that fail under load or with their units' age, a surge with repeats, a list 8 s behind, a relay killed and back, broken records, thin fits, an option that wins on service and loses on harm.

Found on the way: the checker dropped invocations taken at time zero from the exposure window; the scripts' errors pointed at the last word where a sentence just ended.

--- a/tealsail/lab/fits.py
+++ b/tealsail/lab/fits.py
@@ -4,7 +4,7 @@
 Where a record has the unit's own lines (ran, done) the time between them counts, of shots that found less than a core's
 worth of company at their start; where it has a relay's alone, that of shots that found their unit without any other.
 Cold units are left out.  A build's pace is the ratio of its mean to that of the build before, workload by workload.
-The overhead is what the relay and the sockets add: from a client's sending to the unit, and from the unit to the client.
+The overhead is what the relay and the sockets add: from a client's intended send to the unit, and from the unit to it.
 """
 from collections import deque
 from math import exp, log, sqrt
@@ -88,8 +88,8 @@
                 self.at_unit[unit] = 0
             case Told(_, _, unit, build, "open", started) if not self.own:
                 self.warm_from[unit], self.builds[unit] = (started + self.warm_up if started else 0), build
-            case Take(at, relay, number, _, workload):
-                self.workload[relay, number] = workload, at
+            case Take(at, relay, number, intended, workload, first=first):
+                self.workload[relay, number] = workload, intended if first == number else at
             case Shot(at, relay, number, place, unit, build) if not self.own:
                 self.began((relay, number, place), at, unit, build)
             case Ran(at, relay, number, place, unit):
--- a/tealsail/lab/script.py
+++ b/tealsail/lab/script.py
@@ -160,7 +160,8 @@
         try:
             fault = Reader().transform(PARSER.parse(words))
         except UnexpectedInput as problem:
-            column = problem.column if problem.column and problem.column > 0 else len(words) + 1
+            ended = getattr(getattr(problem, "token", None), "type", "") == "$END"
+            column = len(words) + 1 if ended or problem.column < 1 else problem.column
             wanted = getattr(problem, "accepts", None) or getattr(problem, "allowed", None) or ()
             raise Unclear(f"line {number}, column {min(column, len(words) + 1)}: {words.strip()!r} can't be read "
                           "there" + (f"; {hint(wanted)}" if wanted else "")) from None
--- a/tealsail/world/rules.py
+++ b/tealsail/world/rules.py
@@ -13,6 +13,7 @@
 
 NEVER_RAN = ("full", "unreachable", "moot")
 MOST_TOLD = 50                                   # breaches kept word for word
+LONG_AGO = -1 << 60
 FORGET = 600_000                                 # tenths of a ms after which what is over is forgotten
 
 
@@ -199,7 +200,7 @@
             return None
         if build > news.build:
             return self.facts.get("caps", [0.0])[0]
-        at, higher = self.lowered.get(line.relay, (-1 << 60, 0.0))
+        at, higher = self.lowered.get(line.relay, (LONG_AGO, 0.0))
         return max(news.cap, higher) if line.at <= at + self.grace + self.slack.time else news.cap
 
     def exposed(self, line: Shot) -> None:
@@ -210,8 +211,8 @@
         tried = self.tried.setdefault((line.relay, build), deque())
         tried.append(line.at)
         taken = self.taken.get(line.relay, deque())
-        binds = self.lowered.get(line.relay, (-1 << 60, 0.0))[0] + self.grace + self.slack.time
-        for times, first in ((tried, binds if line.at > binds else 0), (taken, 0)):
+        binds = self.lowered.get(line.relay, (LONG_AGO, 0.0))[0] + self.grace + self.slack.time
+        for times, first in ((tried, binds if line.at > binds else LONG_AGO), (taken, LONG_AGO)):
             while times and times[0] <= max(first, line.at - self.span):
                 times.popleft()
         allowed = self.facts.get("free_shots", 0) + self.slack.shots + cap * (1 + self.slack.part) * len(taken)
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,372 @@
+"""Scenarios, their script, the model's days, bars and fits."""
+import copy
+import hashlib
+import json
+import math
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given, strategies as st
+from scipy import stats
+
+from tealsail.command.main import main
+from tealsail.lab import bars, costs, fits, runs
+from tealsail.lab.figures import Figures
+from tealsail.lab.scenario import BadScenario, convert, read
+from tealsail.lab.script import Unclear, read_script
+from tealsail.lab.virtual import Model
+from tealsail.record import files
+from tealsail.record.lines import Came, End, Head, Log, Shot, Stage, Take, Told, Vote, encode
+
+SECOND = 10_000
+EXAMPLES = Path(__file__).parent.parent / "examples"
+DAY: dict[str, Any] = {
+    "name": "a day", "seconds": 20, "fleet": {"relays": 2, "units": 8, "start_ms": [300, 800]},
+    "unit": {"cores": 2.0, "warm_up_ms": 1500}, "clients": {"rate": 100},
+    "workload": [{"name": "fetch", "share": 0.8, "work": {"mean_ms": 20}},
+                 {"name": "submit", "effect": "one-shot", "share": 0.2, "work": {"mean_ms": 30}, "payoff": 3}],
+    "customer": [{"name": "acme", "share": 0.3}, {"name": "umbra", "share": 0.7}],
+    "builds": [{"number": 2, "offered_s": 2}]}
+
+
+def day(**more: Any) -> dict[str, Any]:
+    """The day with tables laid over it (two levels), `builds` fields into its one build."""
+    tree = copy.deepcopy(DAY)
+    for name, value in more.items():
+        if name == "builds":
+            tree["builds"][0] |= value
+        elif isinstance(value, dict):
+            tree[name] = tree.get(name, {}) | value
+        else:
+            tree[name] = value
+    return tree
+
+
+class Scripts(unittest.TestCase):
+    def test_sentences_and_what_they_mean(self) -> None:
+        found = read_script("at 12s kill 3 units of zone b for 10s  # a comment\n\n"
+                            "from 1.5s for 500ms slow 20% of units of build 2 x 3\nat 3s fail 30% of answers of all units\n"
+                            "from 20s for 1m customer acme x 5\nat 9s kill relay 1 for 2s\nat 9s cut all relays from zone b")
+        kill = next(fault for fault in found if fault.kind == "kill")
+        self.assertEqual((kill.at, kill.span, kill.many, kill.zone, kill.text),
+                         (12 * SECOND, 10 * SECOND, 3, "b", "at 12s kill 3 units of zone b for 10s"))
+        self.assertEqual([(fault.kind, fault.part, fault.times, fault.build) for fault in found[:2]],
+                         [("slow", 0.2, 3.0, 2), ("fail", 1.0, 0.3, -1)])
+        self.assertEqual([fault.at for fault in found], sorted(fault.at for fault in found))
+
+    def test_what_can_not_be_read_is_told_with_its_line_and_column(self) -> None:
+        for text, where in (("at 3s kill 1 unit\nat 12 kill 3 units", "line 2, column 4"),
+                            ("at 12s kil 3 units", "line 1, column 8: .* expected customer, cut"),
+                            ("at 3s kill 3 units of", "line 1, column 22: .* expected build, zone"),
+                            ("at 3s list stale", "line 1: .* needs a time"),
+                            ("from 3s for 2s slow 1 unit x 0", "a factor above nothing"),
+                            ("x" * 70_000, "longer than")):
+            with self.assertRaisesRegex(Unclear, where):
+                read_script(text)
+
+    @given(st.text(alphabet="atfromunis 0123456789.%x#bkl\n", max_size=60))
+    def test_any_text_is_read_or_turned_down(self, text) -> None:
+        try:
+            read_script(text)
+        except Unclear as problem:
+            self.assertNotIn("\n", str(problem))
+
+    @given(st.integers(0, 900), st.integers(1, 900), st.integers(1, 50), st.sampled_from(["kill", "hang", "silence"]))
+    def test_numbers_come_through(self, at, span, many, verb) -> None:
+        fault, = read_script(f"at {at}ms {verb} {many} units for {span}s")
+        self.assertEqual((fault.at, fault.span, fault.many, fault.kind), (at * 10, span * SECOND, many, verb))
+
+
+class Scenarios(unittest.TestCase):
+    def test_a_wrong_field_is_one_line_with_its_path(self) -> None:
+        for change, where in (({"clients": {"rate": "many"}}, r"clients\.rate: expected `float`"),
+                              ({"clients": {"rat": 3}}, r"clients: .*unknown field `rat`"),
+                              ({"fleet": {"relays": 0}}, r"fleet\.relays: expected `int` >= 1"),
+                              ({"builds": {"only": "nothing"}}, r"builds\[0\]\.only: no workload 'nothing'"),
+                              ({"builds": {"number": 1}}, r"builds\[0\]\.number: not above"),
+                              ({"script": "at 3s kil"}, r"script: line 1, column 7"),
+                              ({"script": "at 3s lose zone z"}, r"no zone z"),
+                              ({"script": "from 3s for 1s customer nobody x 2"}, "no customer nobody"),
+                              ({"script": "at 3s kill relay 7"}, "relays 0 to 1"),
+                              ({"platform": {"caps": [0.5]}}, r"platform\.caps: fewer"),
+                              ({"settings": {"limits.cancel.x": 1}}, r"settings\.limits\.cancel\.x")):
+            with self.subTest(where), self.assertRaisesRegex(BadScenario, where) as caught:
+                scenario = convert(day(**change), "s.toml")
+                scenario.facts(0)
+            self.assertNotIn("\n", str(caught.exception))
+
+    def test_files_lie_over_each_other_and_a_ring_of_them_ends(self) -> None:
+        self.assertEqual(read(EXAMPLES / "bad.toml").clients, read(EXAMPLES / "calm.toml").clients)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "ring.toml"
+            path.write_text('base = "ring.toml"\n')
+            with self.assertRaisesRegex(BadScenario, "more than 8 files"):
+                read(path)
+
+    def test_all_examples_can_be_used_and_come_back_from_their_plain_form(self) -> None:
+        for path in EXAMPLES.glob("*.toml"):
+            scenario = read(path)
+            self.assertEqual(convert(scenario.plain()), scenario)
+            self.assertEqual(scenario.facts(0)["relays"], scenario.fleet.relays)
+
+
+class Days(unittest.TestCase):
+    """The hard cases, in virtual time; each keeps the five rules."""
+
+    def play(self, seed: int = 1, **more: Any) -> tuple[Any, list]:
+        lines: list = []
+        figures, rules = Figures(), runs.Rules()
+        model = Model(convert(day(**more)), seed, [lines.append, figures, rules]).play()
+        rules.close()
+        self.assertEqual(([str(each) for each in rules.breaches], model.faults), ([], 0))
+        return figures.result(), lines
+
+    def of(self, lines: list, kind: type, **fields: Any) -> list:
+        return [line for line in lines if type(line) is kind
+                and all(getattr(line, name) == value for name, value in fields.items())]
+
+    def test_the_same_scenario_and_seed_give_the_same_record_byte_for_byte(self) -> None:
+        marks = []
+        for seed in (1, 1, 2):
+            mark = hashlib.sha256()
+            Model(convert(day(seconds=6)), seed, [lambda line: mark.update(encode(line))]).play()
+            marks.append(mark.hexdigest())
+        self.assertEqual((marks[0] == marks[1], marks[0] == marks[2]), (True, False))
+
+    def test_a_good_build_is_released_and_each_invocation_has_one_answer(self) -> None:
+        result, lines = self.play()
+        self.assertEqual(result.figures["released.2"], 1.0)
+        self.assertGreater(result.figures["service"], 0.97)
+        self.assertEqual(len(self.of(lines, Take)), len(self.of(lines, End)))
+
+    def test_a_bad_build_goes_back_early(self) -> None:
+        result, _ = self.play(builds={"errors": 0.3})
+        self.assertLess(result.figures["back_s.2"], 6)
+        self.assertEqual(result.figures["released.2"], 0.0)
+
+    def test_a_build_that_fails_only_under_load(self) -> None:
+        quiet, _ = self.play(builds={"errors": 0.5, "above": 3.0}, clients={"rate": 40})
+        busy, _ = self.play(builds={"errors": 0.5, "above": 3.0}, clients={"rate": 400})
+        self.assertEqual((quiet.figures["released.2"], busy.figures["released.2"]), (1.0, 0.0))
+
+    def test_a_build_that_turns_bad_five_to_eleven_seconds_after_its_units_start(self) -> None:
+        result, lines = self.play(seconds=30, builds={"errors": 0.5, "turns_s": [5, 11]})
+        errors = [line.at for line in self.of(lines, Came, outcome="error")]
+        self.assertGreater(min(errors), 7 * SECOND)
+        self.assertIn("back_s.2", result.figures)
+
+    def test_one_customer_at_five_times_its_rate_with_its_repeats(self) -> None:
+        surge = "from 5s for 8s customer acme x 5"
+        calm, _ = self.play(clients={"rate": 200, "repeats": 2}, builds={"offered_s": 90})
+        result, lines = self.play(clients={"rate": 200, "repeats": 2}, unit={"cores": 0.8}, script=surge,
+                                  builds={"offered_s": 90})
+        self.assertGreater(len({line.first for line in self.of(lines, Take)}), 4000 + 0.9 * 200 * 0.3 * 4 * 8)
+        repeats = [line for line in self.of(lines, Take) if line.number != line.first]
+        self.assertGreater(len(repeats), 20)
+        self.assertLess(result.figures["service"], calm.figures["service"])
+        seen = {line.number for line in self.of(lines, Take)}
+        self.assertEqual(len(seen), len(self.of(lines, Take)))   # each repeat has a number of its own
+
+    def test_a_list_eight_seconds_behind_while_stages_go_on(self) -> None:
+        _, lines = self.play(script="from 3s for 8s list stale")
+        told = [line.at for line in self.of(lines, Told)]
+        self.assertEqual([at for at in told if 4 * SECOND < at < 11 * SECOND], [])
+        self.assertTrue([at for at in told if at > 11 * SECOND])
+        self.assertTrue(self.of(lines, Came, outcome="full") or self.of(lines, Came, outcome="unreachable"))
+
+    def test_a_relay_killed_and_back_in_the_middle_of_a_trial(self) -> None:
+        result, lines = self.play(script="at 3s kill relay 0 for 2s")
+        lost = self.of(lines, End, answer="lost")
+        self.assertTrue(all(line.relay == 0 and line.at == 3 * SECOND for line in lost))
+        between = [line for line in self.of(lines, Take, relay=0) if 3 * SECOND < line.at < 5 * SECOND]
+        self.assertEqual(between, [])
+        self.assertTrue([line for line in self.of(lines, Take, relay=0) if line.at > 5 * SECOND])
+        self.assertEqual(result.figures["released.2"], 1.0)
+
+    def test_a_silent_platform_holds_the_stage_and_the_day_goes_on(self) -> None:
+        _, lines = self.play(script="from 3s for 7s platform silent")
+        moved = [line.at for line in self.of(lines, Stage) if 3 * SECOND < line.at < 10 * SECOND]
+        self.assertEqual(moved, [])
+        self.assertTrue(self.of(lines, Vote, answer="nothing"))
+        self.assertTrue([line for line in self.of(lines, Stage) if line.at > 10 * SECOND])
+
+    def test_units_that_die_hang_slow_down_fall_silent_and_fail(self) -> None:
+        result, lines = self.play(clients={"rate": 60}, script="at 4s kill 1 unit for 3s\nfrom 6s for 2s hang 1 unit\n"
+                                  "from 8s for 2s slow 1 unit x 5\nfrom 10s for 2s silence 1 unit\n"
+                                  "from 12s for 2s fail 80% of answers of 1 unit\nat 14s drain 1 unit")
+        seen = {line.outcome for line in self.of(lines, Came)}
+        self.assertTrue({"served", "error", "unreachable"} <= seen, seen)
+        self.assertGreater(result.figures["service"], 0.9)
+
+    def test_notes_that_are_lost_and_two_zones_apart(self) -> None:
+        result, lines = self.play(fleet={"zones": ["a", "b"]}, network={"far_ms": 12.0},
+                                  script="from 1s for 15s notes lost\nfrom 5s for 2s cut relay 0 from zone b")
+        self.assertTrue(self.of(lines, Came, relay=0, outcome="unreachable"))
+        self.assertEqual(self.of(lines, Came, relay=1, outcome="unreachable"), [])
+        self.assertIn("service.zone.b", result.figures)
+
+    def test_settings_of_the_relays_are_an_option_too(self) -> None:
+        _, lines = self.play(settings={"limits.maxAttempts": 1}, script="at 4s kill 2 units for 2s")
+        self.assertEqual({line.place for line in self.of(lines, Shot)}, {0})
+
+    def test_the_platforms_clock_moves_stages_without_votes(self) -> None:
+        result, lines = self.play(platform={"by_clock_ms": 2000})
+        self.assertEqual(result.figures["released.2"], 1.0)
+        self.assertEqual(self.of(lines, Vote, verdict="on"), [])
+
+    def test_recorded_traffic_is_sent_again_as_it_was(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a.record.gz"
+            runs.play(convert(day(seconds=5)), 1, path)
+            first = [line.intended for line in files.read(path) if isinstance(line, Take)]
+            _, lines = self.play(seed=9, seconds=5, clients={"trace": str(path)})
+            self.assertEqual([line.intended for line in self.of(lines, Take)], first)
+            with self.assertRaisesRegex(BadScenario, "no workload fetch"):
+                Model(convert(day(clients={"trace": str(path)}, workload=[{"name": "other"}])), 1, [])
+            with self.assertRaisesRegex(BadScenario, "can't surge"):
+                convert(day(clients={"trace": str(path)}, script="from 1s for 1s traffic x 2"))
+
+    def test_a_fleet_of_many_relays_goes_on_by_three_judges(self) -> None:
+        scenario = costs.scenario(60, 60, 8)
+        lines: list = []
+        Model(scenario, 1, [lines.append]).play()
+        self.assertLessEqual(len({line.relay for line in self.of(lines, Log) if "verdict" in line.text}), 12)
+        self.assertTrue(self.of(lines, Stage, stage=1))
+
+
+class Figured(unittest.TestCase):
+    """What figures say, on a record written by hand."""
+    HEAD = Head(0, 1, "model", "x", 1, {"workloads": [{"name": "fetch", "promised": 1000, "payoff": 2.0}], "customers": []})
+
+    def result(self, *lines: Any) -> dict[str, float]:
+        figures = Figures()
+        for line in (self.HEAD, *lines):
+            figures(line)
+        return figures.result().figures
+
+    def test_repeats_belong_to_their_first_try_and_count_from_when_it_was_meant(self) -> None:
+        found = self.result(Take(100, 0, 1, 0, 0, 0, "", 30_000, 1), End(110, 0, 1, "rejected"),
+                            Take(900, 0, 2, 0, 0, 0, "", 30_000, 1), End(1_001, 0, 2, "served"),
+                            Take(2000, 0, 3, 2000, 0, 0, "", 30_000, 3), End(2_050, 0, 3, "rejected"),
+                            Take(2100, 0, 4, 2000, 0, 0, "", 30_000, 3), End(2_500, 0, 4, "served"),
+                            Take(5000, 0, 5, 5000, 0, 0, "", 30_000, 5), End(5_010, 0, 5, "forfeited"))
+        self.assertAlmostEqual(found["service"], 1 / 3)
+        self.assertAlmostEqual(found["late"], 1 / 3)
+        self.assertAlmostEqual(found["forfeited"], 1 / 3)
+        self.assertEqual(found["rejected"], 0)
+
+    def test_harm_is_what_the_build_on_trial_touched_and_was_not_kept(self) -> None:
+        on_trial = Stage(10, 2, 0, "on trial", 0.2)
+        found = self.result(on_trial, *(line for number, build, answer in ((1, 2, "forfeited"), (2, 1, "forfeited"),
+                                                                          (3, 2, "served"), (4, 1, "served"))
+                                        for line in (Take(20, 0, number, 20, 0, 0, "", 30_000, number),
+                                                     Shot(20, 0, number, 0, "u", build, 10), End(50, 0, number, answer))))
+        self.assertEqual((found["harm"], found["service"], found["at_trial"]), (0.25, 0.5, 0.5))
+
+
+class Bars(unittest.TestCase):
+    def test_students_quantiles(self) -> None:
+        for freedom in (1, 2, 3, 5, 9, 30, 200):
+            self.assertAlmostEqual(bars.student(0.95, freedom) / stats.t.ppf(0.975, freedom), 1, delta=0.01)
+        with self.assertRaises(ValueError):
+            bars.student(0.95, 0)
+
+    def test_one_more_day_lies_in_the_bar_nineteen_times_of_twenty(self) -> None:
+        chance, held = stats.norm(10, 2), 0
+        values = chance.rvs(size=(2000, 9), random_state=5)
+        for row in values:
+            held += bars.bar("p50_ms", list(row[:8])).holds(row[8])
+        self.assertAlmostEqual(held / 2000, 0.95, delta=0.015)
+
+    def test_an_option_that_wins_on_service_and_loses_on_harm(self) -> None:
+        first = [{"service": 0.90 + 0.01 * (day % 3), "harm": 0.001, "p50_ms": 10 + day % 2} for day in range(8)]
+        second = [{"service": each["service"] + 0.02 + 0.001 * (day % 2), "harm": 0.004 + 0.001 * (day % 2),
+                   "p50_ms": 10 + (day + 1) % 2} for day, each in enumerate(first)]
+        found = bars.differences(first, second)
+        self.assertEqual([found[name].better for name in ("service", "harm", "p50_ms")], ["B", "A", "can't tell"])
+
+    def test_shares_stay_shares_and_figures_that_are_missing_on_a_day(self) -> None:
+        found = bars.bars([{"service": 1.0, "back_s.2": 3.0}, {"service": 0.9}, {"service": 0.99, "back_s.2": 5.0}])
+        self.assertEqual((found["service"].high, found["back_s.2"].many), (1.0, 2))
+
+
+class Fits(unittest.TestCase):
+    def record(self, folder: str, seconds: float, **more: Any) -> Path:
+        path = Path(folder) / f"{seconds}.record.gz"
+        runs.play(convert(day(seconds=seconds, fleet={"units": 8, "speeds": 0.0, "start_ms": [300, 800]}, **more)), 3, path)
+        return path
+
+    def test_work_and_a_builds_pace_and_errors_are_found_again(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = self.record(folder, 60, builds={"pace": 1.3, "errors": 0.004, "offered_s": 30}, clients={"rate": 150})
+            found = fits.fit(path)
+            fetch = found.workloads[0]
+            self.assertEqual((fetch.name, fetch.note), ("fetch", "as seen"))
+            self.assertTrue(fetch.mean_bar[0] < 20.3 and fetch.mean_bar[1] > 19.7, fetch.mean_bar)
+            self.assertAlmostEqual(fetch.cv, 0.5, delta=0.08)
+            build = found.builds[0]
+            self.assertTrue(build.pace_bar[0] < 1.3 < build.pace_bar[1], build.pace_bar)
+            self.assertAlmostEqual(build.errors, 0.004, delta=0.004)
+
+    def test_too_few_shots_give_wide_bars_and_say_so(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            few, many = (fits.fit(self.record(folder, seconds, builds={"offered_s": 90})).workloads[1] for seconds in (2, 60))
+            self.assertIn("few shots", few.note)
+            width = [each.mean_bar[1] - each.mean_bar[0] for each in (few, many)]
+            self.assertGreater(width[0], 2 * width[1])
+
+    def test_a_relays_own_lines_are_enough(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path, own = self.record(folder, 30), Path(folder) / "own.record"
+            writer = files.Writer(own)
+            for line in files.read(path):
+                if type(line) in (Head, Take, Shot, Came, End, Told):
+                    writer(line)
+            writer.close()
+            self.assertAlmostEqual(fits.fit(own).workloads[0].mean_ms, 20 + 0.6, delta=1.5)
+
+    def test_bars_hold_what_a_fit_does_not_know(self) -> None:
+        """The spread between days is wider with draws of few shots than with the work as known."""
+        with tempfile.TemporaryDirectory() as folder:
+            fitted = Path(folder) / "fit.json"
+            fitted.write_bytes(fits.msgspec.json.encode(fits.fit(self.record(folder, 3))))
+            known, drawn = convert(day(seconds=8)), convert(day(seconds=8, fit=str(fitted)))
+            options = runs.days([[known] * 6, fits.drawn(drawn, 6)], jobs=1)
+            self.assertGreater(options[1].bars["p50_ms"].spread, 1.5 * options[0].bars["p50_ms"].spread)
+
+    def test_a_fit_that_is_not_there_and_a_build_that_it_does_not_know(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            with self.assertRaisesRegex(BadScenario, "fit: "):
+                fits.drawn(convert(day(fit=str(Path(folder) / "none.json"))), 2)
+            fitted = Path(folder) / "fit.json"
+            fitted.write_bytes(fits.msgspec.json.encode(fits.fit(self.record(folder, 3, builds={"offered_s": 90}))))
+            with self.assertRaisesRegex(BadScenario, "builds: 2 is not in the fit"):
+                fits.drawn(convert(day(fit=str(fitted), builds={"fitted": True})), 2)
+
+
+class Commands(unittest.TestCase):
+    def test_the_commands_of_the_model(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            for name, more in (("a", {}), ("b", {"errors": 0.3})):
+                (Path(folder) / f"{name}.toml").write_text(
+                    f'name = "{name}"\nseconds = 4\n[fleet]\nrelays = 2\nunits = 4\n[[workload]]\nname = "fetch"\n'
+                    f'[[builds]]\nnumber = 2\noffered_s = 0.5\nerrors = {more.get("errors", 0.0)}\n')
+            a, b, out, chart = (str(Path(folder) / name) for name in ("a.toml", "b.toml", "out.json", "c.png"))
+            record = str(Path(folder) / "a.record.gz")
+            self.assertEqual(main(["model", "compare", a, b, "--replicas=3", "--jobs=1", f"--json={out}", f"--chart={chart}"]), 0)
+            tree = json.loads(Path(out).read_text())
+            self.assertEqual(len(tree["days"]["A"]), 3)
+            self.assertEqual(Path(chart).read_bytes()[:4], b"\x89PNG")
+            self.assertEqual(main(["model", "run", a, f"--record={record}", f"--json={out}"]), 0)
+            shown = json.loads(Path(out).read_text())["figures"]
+            self.assertEqual(main(["record", "show", record, f"--json={out}"]), 0)
+            again = json.loads(Path(out).read_text())["figures"]
+            self.assertEqual({name: value for name, value in shown.items() if not math.isnan(value)}, again)
+            self.assertEqual(main(["model", "run", str(Path(folder) / "none.toml")]), 2)
+            self.assertEqual(main(["record", "show", a]), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_trial.py
@@ -0,0 +1,77 @@
+"""The world on loopback sockets against real relay processes: short days, and the same machines as the model's."""
+import tempfile
+import unittest
+from pathlib import Path
+
+from tealsail.lab import runs, trials
+from tealsail.lab.scenario import convert
+from tealsail.record import files
+from tealsail.record.lines import Came, End, Life, Ran, Stage, Take
+
+from .test_lab import SECOND, day
+
+QUICK = {"bake_ms": 400}                         # short stages: a horizon in proportion
+
+
+class Trials(unittest.TestCase):
+    """Each keeps the five rules; a machine too busy to play them makes a trial void, and that is no verdict."""
+
+    def play(self, **more) -> tuple:
+        scenario = convert(day(**more))
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a.record.gz"
+            for attempt in range(3):
+                try:
+                    result, breaches = trials.play(scenario, 5, path, Path(folder) / "logs")
+                    break
+                except trials.Void as void:
+                    if "ran late" not in str(void) or attempt == 2:
+                        raise
+            lines = list(files.read(path))
+        self.assertEqual([str(each) for each in breaches], [])
+        return result, lines, scenario
+
+    def of(self, lines: list, kind: type) -> list:
+        return [line for line in lines if type(line) is kind]
+
+    def test_a_good_build_and_the_models_arrivals_on_sockets(self) -> None:
+        result, lines, scenario = self.play(seconds=8, platform=QUICK, builds={"offered_s": 0.5})
+        self.assertGreater(result.figures["service"], 0.9)
+        self.assertIn("released_s.2", result.figures)
+        takes = {line.number: (line.workload, line.customer, line.key) for line in self.of(lines, Take)}
+        work = {line.number: line.work for line in self.of(lines, Ran)}
+        modelled: list = []
+        runs.Model(scenario, 5, [modelled.append]).play()
+        self.assertEqual(takes, {line.number: (line.workload, line.customer, line.key)
+                                 for line in self.of(modelled, Take)})
+        expected = {line.number: line.work for line in self.of(modelled, Ran)}
+        self.assertGreater(len(set(work) & set(expected)), 700)
+        self.assertTrue(all(work[number] == expected[number] for number in set(work) & set(expected)))
+
+    def test_a_bad_build_a_relay_killed_and_back_and_units_that_die_and_fall_silent(self) -> None:
+        result, lines, _ = self.play(
+            seconds=12, builds={"errors": 0.4, "offered_s": 5}, clients={"rate": 120, "repeats": 1},
+            script="at 1s kill relay 0 for 1s\nfrom 2s for 1s silence 1 unit\nat 3s kill 1 unit for 1s\n"
+                   "from 3s for 2s notes lost 50%\nfrom 4s for 1s platform silent")
+        self.assertIn("back_s.2", result.figures)
+        self.assertEqual([line.event for line in self.of(lines, Life) if line.relay == 0], ["up", "down", "up"])
+        again = [line for line in self.of(lines, Take) if line.relay == 0 and line.at > 4 * SECOND]
+        self.assertGreater(len(again), 100)
+        self.assertIn("error", {line.outcome for line in self.of(lines, Came)})
+        self.assertEqual(len({(line.relay, line.number) for line in self.of(lines, End)}),
+                         len(self.of(lines, Take)))
+
+    def test_a_build_that_fails_only_above_some_busyness_and_one_that_turns_bad_with_its_units_age(self) -> None:
+        for builds, rate in (({"errors": 0.6, "above": 1.4}, 400), ({"errors": 0.6, "turns_s": [2, 3]}, 120)):
+            result, lines, _ = self.play(seconds=11, builds=builds | {"offered_s": 0.5}, clients={"rate": rate},
+                                         platform=QUICK)
+            errors = [line.at for line in self.of(lines, Came) if line.outcome == "error"]
+            self.assertTrue(errors)
+            self.assertIn("back_s.2", result.figures)
+            if "turns_s" in builds:
+                first = min(line.at for line in self.of(lines, Stage))
+                self.assertGreater(min(errors), first + 2 * SECOND)
+
+
+if __name__ == "__main__":
+    unittest.main()
