--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -178,16 +178,17 @@
     from ..lab import trials
     scenarios = [read(chosen[name]) for name in ("A", "B")]
     repeats = number(chosen, "--repeats", 1, 20)
+    at_once = number(chosen, "--at-once", 1, 16)
     options = modelled(chosen, scenarios)
-    real: list[list[Result]] = [[], []]
+    with Shown("real days") as progress:
+        played = trials.days(scenarios, repeats, at_once, chosen["--keep"], progress)
+    real = [[result for result, _ in mine] for mine in played]
     broken = False
-    for repeat in range(repeats):                # in turns, so that drift of the machine hits both alike
-        for place, scenario in enumerate(scenarios):
-            kept = Path(chosen["--keep"]) / f"{'AB'[place]}-{repeat}.record.gz" if chosen["--keep"] else None
-            with Shown(f"{scenario.name}, real, {repeat + 1} of {repeats}") as progress:
-                result, breaches = trials.play(scenario, runs.day_seed(scenario, 1000 + repeat), kept, progress=progress)
-            real[place].append(result)
-            broken = say_breaches(out, breaches, result.breaches) or broken
+    for mine in played:
+        for result, breaches in mine:
+            broken = bool(result.breaches) and say_breaches(out, breaches, result.breaches) or broken
+    if not broken:
+        out.print(f"rules: none broken on {2 * repeats} real days")
     outside = inside = 0
     for place, option in enumerate(options):
         table = Table(title=f"{'AB'[place]}: {option.name}: model's bar and {repeats} real")
--- a/tealsail/command/main.py
+++ b/tealsail/command/main.py
@@ -14,7 +14,8 @@
   tealsail version
   tealsail model run SCENARIO [--replicas=N] [--jobs=N] [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE]
   tealsail model compare A B [--replicas=N] [--jobs=N] [--json=FILE] [--chart=FILE]
-  tealsail model check A B [--replicas=N] [--repeats=N] [--jobs=N] [--json=FILE] [--chart=FILE] [--keep=DIR]
+  tealsail model check A B [--replicas=N] [--repeats=N] [--at-once=N] [--jobs=N] [--json=FILE] [--chart=FILE]
+                           [--keep=DIR]
   tealsail model cost [--json=FILE] [--chart=FILE]
   tealsail trial SCENARIO [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE] [--logs=DIR]
   tealsail record show FILE [--json=FILE]
@@ -42,6 +43,7 @@
   --log-level=LEVEL  debug, info, warning or error [default: info].
   --replicas=N       Days of different seeds [default: 10].
   --repeats=N        Real days of each option [default: 1].
+  --at-once=N        Real days side by side: each needs a core or more [default: 1].
   --jobs=N           Processes; 0: one a core [default: 0].
   --draws=N          Bootstrap draws of a fit [default: 20].
   --seed=N           One day of that seed instead of the scenario's.
@@ -50,7 +52,7 @@
   --json=FILE        Write the figures there too.
   --chart=FILE       Draw a PNG.
   --logs=DIR         Keep the relays' logs there.
-  --keep=DIR         Keep the real days' records there.
+  --keep=DIR         Keep the real days there; those that are there already are not played again.
   -h --help          Show this.
 """
 
--- a/tealsail/lab/fits.py
+++ b/tealsail/lab/fits.py
@@ -176,7 +176,7 @@
             interval([float(each.mean()) / 10 for each in again]), float(values.std() / values.mean()), note,
             quantiles(values, likely), [quantiles(each, likely) for each in again]))
     builds = [build_fit(seen, build, base, draws, chance) for build in sorted(seen.answers) if build != base]
-    return Fit(str(path), 1, workloads, [each for each in builds if each],
+    return Fit(Path(path).name, 1, workloads, [each for each in builds if each],
                float(numpy.median(seen.there)) / 10 if seen.there else 0.0,
                float(numpy.median(seen.back)) / 10 if seen.back else 0.0)
 
--- a/tealsail/lab/trials.py
+++ b/tealsail/lab/trials.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -13,8 +14,10 @@
 
 from ..world.rules import Breach
 from .figures import Result
+from .runs import day_seed
 from .scenario import Scenario
 
+FIRST_REAL = 1000                                # replicas' seeds lie below, real days' from here on
 MORE = 90.0                                      # seconds beyond the day's length: then a trial is ended
 
 
@@ -48,6 +51,40 @@
     return read(scenario, json.loads(out))
 
 
+def days(scenarios: list[Scenario], repeats: int, at_once: int, keep: str | None,
+         progress: Callable[[int, int], None]) -> list[list[tuple[Result, list[Breach]]]]:
+    """So many real days of each scenario, in turns, so that drift of the machine hits all alike.  What is found in
+    `keep` from before is not played again.  A void day is played once more; a second time raises Void."""
+    work = [(place, repeat) for repeat in range(repeats) for place in range(len(scenarios))]
+    folder = Path(keep) if keep else None
+    if folder:
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def one(key: tuple[int, int]) -> tuple[Result, list[Breach]]:
+        place, repeat = key
+        name = f"{'ABCDEFGH'[place]}-{repeat}"
+        kept = folder / f"{name}.json" if folder else None
+        if kept and kept.exists():
+            result, breaches = msgspec.json.decode(kept.read_bytes(), type=tuple[Result, list[Breach]])
+            return result, breaches
+        scenario = scenarios[place]
+        seed, record = day_seed(scenario, FIRST_REAL + repeat), folder / f"{name}.record.gz" if folder else None
+        try:
+            found = play(scenario, seed, record)
+        except Void:
+            found = play(scenario, seed, record)
+        if kept:
+            kept.write_bytes(msgspec.json.encode(found))
+        return found
+
+    done = {}
+    with ThreadPoolExecutor(at_once) as pool:
+        for count, (key, found) in enumerate(zip(work, pool.map(one, work)), 1):
+            done[key] = found
+            progress(count, len(work))
+    return [[done[place, repeat] for repeat in range(repeats)] for place in range(len(scenarios))]
+
+
 def read(scenario: Scenario, tree: dict[str, Any]) -> tuple[Result, list[Breach]]:
     result = msgspec.convert(tree["result"], Result)
     if tree["void"]:
