A relay writes a record of its own where the operator's document asks for one

Need: the model is fed with recorded traffic. deploy/tealsail.toml (typed, unknown fields are errors; absent: off, and its library is not brought in) or the same as an argument of Relay. Lines pass a bounded queue to a thread; what finds the queue or the file full is dropped and counted; a disk that takes nothing ends the record, not the relay. Keys are hashed by default.

--- a/tealsail/command/main.py
+++ b/tealsail/command/main.py
@@ -9,8 +9,8 @@
 USAGE = """tealsail: a front tier that watches over software updates.
 
 Usage:
-  tealsail serve [--log-level=LEVEL]
-  tealsail check
+  tealsail serve [--log-level=LEVEL] [--document=FILE]
+  tealsail check [--document=FILE]
   tealsail version
   tealsail model run SCENARIO [--replicas=N] [--jobs=N] [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE]
   tealsail model compare A B [--replicas=N] [--jobs=N] [--json=FILE] [--chart=FILE]
@@ -41,6 +41,7 @@
 
 Options:
   --log-level=LEVEL  debug, info, warning or error [default: info].
+  --document=FILE    The operator's document, if there is one [default: deploy/tealsail.toml].
   --replicas=N       Days of different seeds [default: 10].
   --repeats=N        Real days of each option [default: 1].
   --at-once=N        Real days side by side: each needs a core or more [default: 1].
--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -13,10 +13,11 @@
 from ..net.relay import Relay
 from ..net.start import BadStart, read, read_again
 
+
 def run(chosen: dict[str, Any], environment: Mapping[str, str]) -> int:
     """`serve` and `check`; returns the exit code."""
     try:
-        told = read(environment)
+        told, document = read(environment), operators(chosen["--document"])
         if chosen["check"]:
             print(f"{told.name}: listens at {told.listen}; {len(told.known.entries)} units known; "
                   f"{len(told.facts['workloads'])} workloads; {len(told.peers)} relays")
@@ -24,8 +25,8 @@
         logger.remove()
         logger.add(sys.stderr, level=chosen["--log-level"].upper(), backtrace=False, diagnose=False,
                    format="{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {message}")
-        return serve(told)
-    except (BadStart, CannotListenError, ValueError) as problem:
+        return serve(told, document)
+    except (BadStart, CannotListenError, ValueError, OSError) as problem:
         print(f"tealsail: {' '.join(str(problem).split())}", file=sys.stderr)
     return 2
 
@@ -44,12 +45,23 @@
         logger.error("configuration not taken: {}", " ".join(str(problem).split()))
 
 
-def serve(told: Any) -> int:
+def operators(path: str) -> Any:
+    """The operator's document, None where there is no file; its library is brought in only where there is one."""
+    if not os.path.exists(path):
+        return None
+    from ..setup import document
+    try:
+        return document.read(path)
+    except document.BadDocument as problem:
+        raise BadStart(str(problem)) from None
+
+
+def serve(told: Any, document: Any = None) -> int:
     """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters, SIGHUP has the file read again."""
     from twisted.internet import reactor
     globalLogBeginner.beginLoggingTo([network_fault], redirectStandardIO=False)
     try:
-        relay = Relay(reactor, told, Counters())
+        relay = Relay(reactor, told, Counters(), document)
         signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, relay))   # before any client
         relay.start()
     except (ArithmeticError, AttributeError, LookupError, TypeError) as problem:
--- a/tealsail/lab/figures.py
+++ b/tealsail/lab/figures.py
@@ -96,10 +96,10 @@
         self.zones = list(zones) if len(zones) > 1 else []
 
     def take(self, line: Take) -> None:
-        first = self.open.get(line.first)
-        if first is None:
-            first = self.open[line.first] = First(line)
-        self.tries[line.relay, line.number] = line.first
+        number = line.first if line.first >= 0 else line.number  # a relay does not know whose repeat it took
+        if number not in self.open:
+            self.open[number] = First(line)
+        self.tries[line.relay, line.number] = number
         if line.at > self.swept + FORGET:
             self.sweep(line.at)
 
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -43,6 +43,8 @@
             repeat=statement.repeat)
         relay.serving[self.number] = self
         relay.ids.add(statement.id)
+        if relay.record:
+            relay.record.taken(self.number, statement, at)
         try:
             self.follow(step)
         except Exception:                        # a fault of ours costs this invocation alone
@@ -70,6 +72,8 @@
             self.came(Came("moot"), place)
             return
         self.shots[place] = shot
+        if relay.record:
+            relay.record.shot(self.number, place, unit, wait)
         shot.done.addCallback(self.came, place)
         shot.done.addErrback(relay.fault)
 
@@ -78,6 +82,8 @@
         self.relay.counters.add(f"units.{came.outcome}")
         fields = self.relay.load_fields
         load = {name: figure for name, figure in (came.load or {}).items() if name in fields}
+        if self.relay.record:
+            self.relay.record.came(self.number, place, came.outcome)
         step = self.relay.facade.report(Outcome(self.number, place, came.outcome, load or None))
         if came.outcome == "served" and came.value:
             self.end(came.value)
@@ -87,6 +93,8 @@
     def end(self, answer: Answer) -> None:
         if not self.over:
             self.over = True
+            if self.relay.record:
+                self.relay.record.ended(self.number, answer)
             self.answer.callback(answer)
 
     def call_off(self, place: int) -> None:
@@ -96,6 +104,8 @@
     def left(self, answer: Deferred) -> None:
         """The client has gone."""
         self.over = True
+        if self.relay.record:
+            self.relay.record.ended(self.number, None)
         self.relay.facade.report(Departed(self.number))
         self.relay.ticked()
         self.forget()
@@ -107,9 +117,11 @@
 
 
 class Relay:
-    """One relay, from `start` to `stop`; embedders hand in their own reactor."""
+    """One relay, from `start` to `stop`; embedders hand in their own reactor, and the operator's document if they
+    have one (tealsail/setup/document.py).  Raises OSError if a record can't be opened."""
 
-    def __init__(self, reactor: Any, told: Assignment, counters: Counters | None = None) -> None:
+    def __init__(self, reactor: Any, told: Assignment, counters: Counters | None = None,
+                 document: Any = None) -> None:
         self.reactor, self.told, self.counters = reactor, told, counters or Counters()
         self.last, self.due = 0, 0
         facts = told.facts
@@ -129,6 +141,10 @@
         self.ports: list[Any] = []
         self.timer: Any = None
         self.stopped: Deferred[None] | None = None
+        self.record: Any = None                  # a tealsail.net.recording.Record, where the operator has one kept
+        if document and document.recording:
+            from .recording import Record
+            self.record = Record(self, document.recording)
 
     def clock(self) -> int:
         """Unix time in tenths of a millisecond; it never goes back."""
@@ -182,6 +198,8 @@
             for number in self.units.numbers():
                 if number not in here:
                     self.units.unlisted(number)
+        if self.record:
+            self.record.listed(entries)
         self.facade.report(Listing(kind, [self.entry(entry) for entry in entries]))
         self.schedule()
 
@@ -190,6 +208,8 @@
                       self.zones.get(entry.zone, 0), entry.cell, entry.weight, settings.tenths(entry.started))
 
     def stood(self, state: State) -> None:
+        if self.record:
+            self.record.stood(state)
         self.facade.report(Standing(state.build, state.stage, state.phase, state.cap,
                                     settings.tenths(state.age)))
         self.schedule()
@@ -252,5 +272,7 @@
             return
         self.discovery.stop()
         self.platform.stop()
+        if self.record:
+            self.record.close()
         logger.info("counters {}", self.counters.show())
         self.stopped.callback(None)
--- a/tealsail/record/files.py
+++ b/tealsail/record/files.py
@@ -26,11 +26,13 @@
 
     def close(self, late: int = 0) -> None:
         """The last line tells that nothing is missing."""
-        self(Close(self.last, self.lines, late))
-        self.out.close()
-        if self.packed:
-            self.packed.close()
-        self.file.close()
+        try:
+            self(Close(self.last, self.lines, late))
+            self.out.close()
+            if self.packed:
+                self.packed.close()
+        finally:
+            self.file.close()
 
 
 class Notes:
--- /dev/null
+++ b/tealsail/setup/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's document: what an installation adds to what the platform tells."""
--- /dev/null
+++ b/tests/test_recording.py
@@ -0,0 +1,171 @@
+"""The operator's document, and the record that a relay writes of itself without being in its own way."""
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+
+from tealsail.net.counters import Counters
+from tealsail.net.relay import Relay
+from tealsail.record import files
+from tealsail.record.lines import VERSION, Came, Close, End, Head, News, Shot, Take, Told
+from tealsail.record.recorder import Recorder
+from tealsail.setup import document
+
+from .fake import GREETING, IDLE, OPENING, ROW, Reactor, Wire, asking, failure
+from .test_relay import UNIT, config, told
+
+HEAD = Head(0, VERSION, "relay", "n0", 0, {})
+
+
+class Documents(unittest.TestCase):
+    def test_absent_wrong_and_as_a_map(self) -> None:
+        self.assertEqual(document.read("/nowhere/tealsail.toml"), document.Document())
+        for tree, why in (({"recording": {}}, r"recording: .*missing required field `file`"),
+                          ({"recording": {"file": "a", "most_mb": 0}}, r"recording\.most_mb: expected `int` >= 1"),
+                          ({"recording": {"file": "a", "keys": "some"}}, r"recording\.keys: invalid enum"),
+                          ({"what": 1}, "unknown field `what`")):
+            with self.assertRaisesRegex(document.BadDocument, why) as caught:
+                document.convert(tree, "t.toml")
+            self.assertNotIn("\n", str(caught.exception))
+        self.assertEqual(document.convert({"recording": {"file": "a"}}).recording.keys, "hashed")
+
+    def test_a_file_that_is_no_toml_is_one_line(self) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write("[recording\n")
+            file.flush()
+            with self.assertRaisesRegex(document.BadDocument, r"\.toml: "):
+                document.read(file.name)
+
+    def test_a_relay_without_a_document_brings_in_nothing_of_it(self) -> None:
+        said = subprocess.run(
+            [sys.executable, "-B", "-c", "import sys, tealsail.command.serve, tealsail.command.main; print([name for name in "
+             "('msgspec', 'numpy', 'lark', 'tealsail.record', 'tealsail.world', 'tealsail.lab') if name in sys.modules])"],
+            capture_output=True, text=True, timeout=60)
+        self.assertEqual(said.stdout.strip(), "[]", said.stderr)
+
+
+class Records(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "n0.record.gz"
+
+    def relay(self, **recording) -> Relay:
+        self.reactor = Reactor()
+        wanted = document.convert({"recording": {"file": str(self.path)} | recording})
+        relay = Relay(self.reactor, told(config()), document=wanted)
+        relay.start()
+        return relay
+
+    def client(self, *data: bytes) -> Wire:
+        wire = Wire(self.reactor.tcpServers[0][1].buildProtocol(None))
+        wire.gets(OPENING)
+        wire.sent()
+        wire.gets(b"".join(data))
+        return wire
+
+    def unit(self) -> Wire:
+        wire = self.reactor.up(UNIT)
+        wire.gets(GREETING)
+        return wire
+
+    def lines(self, kind: type) -> list:
+        return [line for line in files.read(self.path) if type(line) is kind]
+
+    def test_what_a_relay_took_sent_and_answered(self) -> None:
+        relay = self.relay()
+        client = self.client(asking())
+        wire = self.unit()
+        wire.sent()
+        self.reactor.advance(0.03)
+        wire.gets(ROW + IDLE)
+        self.assertEqual(client.sent(), ROW + IDLE)
+        client.gets(asking(workload="order", more=",r=1"))
+        wire.sent()
+        wire.gets(IDLE)                          # the empty query's answer is owed first
+        self.reactor.advance(0.6)
+        wire.settle()
+        relay.record.close()
+        first, second = self.lines(Take)
+        self.assertEqual((first.first, second.first, first.workload, second.workload), (first.number, -1, 0, 1))
+        self.assertEqual((len(first.key), first.key == second.key, "7f3a" in first.key), (16, True, False))
+        self.assertEqual(first.give_up - first.at, 4800)
+        shot = self.lines(Shot)[0]
+        self.assertEqual((shot.unit, shot.build, shot.number), ("s-1", 41, first.number))
+        came = self.lines(Came)[0]
+        self.assertEqual((came.outcome, came.at - shot.at), ("served", 300))
+        self.assertEqual([line.answer for line in self.lines(End)][0], "served")
+        self.assertEqual([(line.unit, line.state) for line in self.lines(Told)], [("s-1", "open")])
+        self.assertEqual([(line.build, line.phase) for line in self.lines(News)], [(41, "released")])
+        self.assertEqual(self.lines(Head)[0].facts["workloads"][0]["name"], "basket")
+        self.assertEqual(self.lines(Close)[0].lines, sum(1 for _ in files.read(self.path)) - 1)
+
+    def test_a_client_that_leaves_and_a_failed_shot(self) -> None:
+        relay = self.relay(keys="none")
+        client = self.client(asking(workload="order"))
+        wire = self.unit()
+        wire.sent()
+        wire.gets(failure("XX000") + IDLE)
+        client.gets(asking())
+        client.drop()
+        relay.record.close()
+        self.assertEqual([line.answer for line in self.lines(End)], ["forfeited", "left"])
+        self.assertEqual({line.key for line in self.lines(Take)}, {""})
+
+    def recorder(self, path: Path | str, most_bytes: int = 1 << 20, most_waiting: int = 1000) -> Recorder:
+        self.counters = Counters()
+        return Recorder(path, HEAD, most_bytes, most_waiting, "plain", self.counters.add)
+
+    def test_a_full_queue_drops_and_counts_and_never_waits(self) -> None:
+        recorder = self.recorder(self.path, most_waiting=100)
+        gate, write = threading.Event(), recorder.writer
+
+        class Still(files.Writer):
+            """On a disk that stands still."""
+            lines = 0
+
+            def __init__(self) -> None:
+                pass
+
+            def __call__(self, line) -> None:
+                gate.wait()
+                write(line)
+
+        recorder.writer = Still()
+        for number in range(500):
+            recorder.note(End(number, 0, number, "served"))
+        dropped = self.counters.counts["record.dropped"]
+        self.assertTrue(399 <= dropped <= 400, dropped)
+        gate.set()
+        recorder.waiting.put(None)
+        recorder.thread.join()
+        write.close()
+        self.assertEqual(len(self.lines(End)), 500 - dropped)
+
+    def test_a_file_at_its_limit_ends_the_record_whole(self) -> None:
+        path = self.path.with_name("n0.record")
+        recorder = self.recorder(path, most_bytes=50_000, most_waiting=100_000)
+        for number in range(20_000):
+            recorder.note(End(number, 0, number, "served"))
+        recorder.close()
+        self.assertLess(path.stat().st_size, 80_000)
+        self.assertIsInstance(list(files.read(path))[-1], Close)
+        recorder.note(End(1, 0, 1, "served"))
+        self.assertGreater(self.counters.counts["record.dropped"], 0)
+
+    def test_a_disk_that_takes_nothing_ends_the_record_and_not_the_relay(self) -> None:
+        recorder = self.recorder("/dev/full", most_waiting=100_000)
+        for number in range(50_000):
+            recorder.note(End(number, 0, number, "served"))
+        recorder.close()
+        self.assertIn("No space left", recorder.problem)
+
+    def test_a_record_that_can_not_be_opened_is_told_at_the_start(self) -> None:
+        with self.assertRaises(OSError):
+            Relay(Reactor(), told(config()), document=document.convert({"recording": {"file": "/nowhere/at/all"}}))
+
+
+if __name__ == "__main__":
+    unittest.main()
