--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -9,7 +9,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from ..lab import costs, fits, imports, runs
+from ..lab import costs, fields, fits, imports, runs
 from ..lab.bars import Bar, Difference
 from ..lab.figures import Result
 from ..lab.scenario import BadScenario, Scenario, read
@@ -26,10 +26,10 @@
     out = Console(highlight=False, width=None if sys.stdout.isatty() else WIDTH)
     try:
         if chosen["model"]:
-            for name in ("run", "compare", "check", "cost"):
+            for name, call in (("run", model_run), ("compare", model_compare), ("check", model_check),
+                               ("cost", model_cost), ("fields", model_fields)):
                 if chosen[name]:
-                    return {"run": model_run, "compare": model_compare, "check": model_check,
-                            "cost": model_cost}[name](chosen, out)
+                    return call(chosen, out)
         if chosen["trial"]:
             return trial(chosen, out)
         for name, call in (("show", record_show), ("import", record_import), ("fit", record_fit)):
@@ -242,6 +242,16 @@
     return 0
 
 
+def model_fields(chosen: dict[str, Any], out: Console) -> int:
+    table = Table(title="a scenario's fields")
+    for column in ("field", "type", "bounds", "default"):
+        table.add_column(column)
+    for row in fields.rows(Scenario):
+        table.add_row(*row)
+    out.print(table)
+    return 0
+
+
 def trial(chosen: dict[str, Any], out: Console) -> int:
     from ..lab import trials
     scenario = read(chosen["SCENARIO"])
--- a/tealsail/command/main.py
+++ b/tealsail/command/main.py
@@ -17,6 +17,7 @@
   tealsail model check A B [--replicas=N] [--repeats=N] [--at-once=N] [--jobs=N] [--json=FILE] [--chart=FILE]
                            [--keep=DIR]
   tealsail model cost [--json=FILE] [--chart=FILE]
+  tealsail model fields
   tealsail trial SCENARIO [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE] [--logs=DIR]
   tealsail record show FILE [--json=FILE]
   tealsail record import CSV FILE [--start=MS]
@@ -34,6 +35,7 @@
   model check    Model both, then play both for real, and say whether each real figure lies in its bar.
                  Exit code 1 if one does not.
   model cost     What the model costs for more relays and more units.
+  model fields   Every field of a scenario: type, bounds, default.
   trial          Play a scenario for real: relay processes on loopback addresses.
   record show    Figures and broken rules of a record.
   record import  A record of arrivals from CSV (columns: at_ms,workload,customer,key).
--- a/tealsail/lab/scenario.py
+++ b/tealsail/lab/scenario.py
@@ -13,7 +13,7 @@
 
 from ..settings import facts, nested
 from ..world.builds import Build
-from ..world.clients import Habits, Workload
+from ..world.clients import STREAM, Habits, Workload
 from ..world.day import Parts
 from ..world.desk import Plan
 from ..world.draws import Table, empirical, lognormal
@@ -27,7 +27,7 @@
 EFFECTS = {"harmless": "read_like", "stamped": "idempotency_key", "one-shot": "non_idempotent"}
 
 Share = Annotated[float, Meta(ge=0, le=1)]
-Positive = Annotated[float, Meta(gt=0)]
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
 Time = Annotated[float, Meta(ge=0, le=1e7)]
 Count = Annotated[int, Meta(ge=0, le=1_000_000)]
 Some = Annotated[int, Meta(ge=1, le=100_000)]
@@ -97,7 +97,7 @@
 
 
 class ClientTable(Strict):
-    rate: Positive = 100.0
+    rate: Annotated[float, Meta(gt=0, le=1e6)] = 100.0
     skew: Annotated[float, Meta(ge=0, le=4)] = 0.0
     keys: Some = 1000
     repeats: Count = 0
@@ -356,6 +356,9 @@
         least, most = getattr(getattr(scenario, table.replace("list", "roster")), name)
         if least > most:
             wrong(field, "the first is more than the second")
+    weights = [(relay + 1) ** -scenario.clients.skew for relay in range(scenario.fleet.relays)]
+    if scenario.clients.rate * scenario.seconds * weights[0] / sum(weights) > 0.9 * STREAM:
+        wrong("clients.rate", f"more than {STREAM} first tries at one relay in {scenario.seconds:.0f} s")
     if len(scenario.platform.caps) < len(scenario.platform.shares):
         wrong("platform.caps", "fewer than platform.shares")
     for pair in scenario.network.distances_ms:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -83,6 +83,9 @@
     def test_a_wrong_field_is_one_line_with_its_path(self) -> None:
         for change, where in (({"clients": {"rate": "many"}}, r"clients\.rate: expected `float`"),
                               ({"clients": {"rat": 3}}, r"clients: .*unknown field `rat`"),
+                              ({"clients": {"rate": math.inf}}, r"clients\.rate: expected `float` <="),
+                              ({"clients": {"rate": math.nan}}, r"clients\.rate: expected `float` >"),
+                              ({"clients": {"rate": 5e5}, "seconds": 1000}, r"clients\.rate: more than"),
                               ({"fleet": {"relays": 0}}, r"fleet\.relays: expected `int` >= 1"),
                               ({"builds": {"only": "nothing"}}, r"builds\[0\]\.only: no workload 'nothing'"),
                               ({"builds": {"number": 1}}, r"builds\[0\]\.number: not above"),
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -377,6 +377,14 @@
         self.assertEqual(first.first % TRY // STREAM, first.relay)
 
 
+class Sockets(unittest.TestCase):
+    def test_clients_heed_when_a_rejection_says_to_come_back(self) -> None:
+        """Guards against the first real surge's fault: repeats came at once, and service was better than it can be."""
+        from tealsail.lab.loopback.clients import advice
+        from tealsail.net.messages import trouble
+        self.assertEqual([advice(trouble("53300", "no", after)[5:]) for after in (None, 500)], [0, 5000])
+
+
 class Networks(unittest.TestCase):
     def test_cuts_and_silences_end_and_notes_are_lost_at_their_rate(self) -> None:
         network = Network(Paths(distances={("a", "b"): 120}), ["a", "b"], 7)
