--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -1,7 +1,7 @@
 """Every decision of tealsail.  A host (tealsail/host.py) builds a `Relay(host, facts, seed, now)`, sets `now`
 and calls `on_...`.  `facts` is a plain map (names: tealsail/settings.py); times are tenths of a ms."""
 from collections import defaultdict
-from itertools import islice
+from itertools import chain, islice
 from math import erfc, sqrt
 from typing import Any
 from zlib import crc32
@@ -143,11 +143,11 @@
 
     def weigh(self) -> None:
         relay, (old, new) = self.relay, self.relay.rows
-        relay.warm_room, able, cold = 0, [], []
+        relay.warm_room, able, cold, coldest = 0, [], [], max(0, relay.now - self.facts["warm_up"])
         for row in (old, new):                   # one pass: there may be thousands, each beat
             can, chill = 0, 0
             for unit in row:
-                warmth = relay.warmth(unit) if unit.started else 1.0
+                warmth = relay.warmth(unit) if unit.started > coldest else 1.0
                 if warmth >= 1:
                     relay.warm_room += unit.weight
                 else:
@@ -544,7 +544,12 @@
         """The units of earlier builds and those on trial, in this relay's own order; not for every shot."""
         ordered = sorted(self.units.values(), key=lambda unit: unit.order)
         self.room = sum(unit.weight for unit in ordered) or 0.01
-        self.rows = tuple([unit for unit in ordered if self.on_trial(unit.build) == new] for new in (0, 1))
+        rows: dict[int, list[Unit]] = {}
+        for unit in ordered:                     # by build first: there are few, of thousands of units
+            rows.setdefault(unit.build, []).append(unit)
+        old, new = ([row for build, row in rows.items() if self.on_trial(build) == new] for new in (0, 1))
+        self.rows = tuple(row[0] if len(row) == 1 else sorted(chain(*row), key=lambda unit: unit.order)
+                          for row in (old, new))
         self.trial.weigh()
 
     def on_trial(self, build: int) -> bool:
