Zones: tiers, spill within stated limits and ways back, as a seat before the choice of unit; off when absent

Need: a relay sent evenly over zones, and when one died the rest took all at once. choices/ holds the order of tiers, the split (every relay works it out alone; lost zones share the next one's room by what they are short of) and the way back; deploy/tealsail.toml's [zones] turns it on. Matched groups are matched in distance too.

Found on the way, also without zones: an invocation whose draw allowed cold units was rejected where none of its row was cold any more.

--- /dev/null
+++ b/tealsail/choices/zones.py
@@ -0,0 +1,219 @@
+"""The stage between the choice of build and the choice of unit: which zone, by tiers, spill and ways back.
+
+It keeps the rows of both builds by zone and hands the row of one zone on.  The limits on spill are kept here, at each send: a
+share of what this relay takes, and a rate over the next tier's own use.
+"""
+from ..parts import Chance, Invocation, Ring, Shot, Stage, Unit, mix
+from .returning import OUT, RAMP, Returning
+from .spill import Give, View, split
+from .tiers import Zoning, tiers
+
+ANSWERED = ("served", "error", "full")
+MISSED = ("unreachable", "reset", "timeout")
+GONE = 0.5                                       # under so much of what is usual, against the best zone: lost
+UNANSWERED = 5                                   # misses in a row, with no answer between: out of reach
+FEW = 5                                          # answers and misses that a share of them needs
+PROBE = 5_000                                    # tenths of a ms between looks at a zone that is out
+LATE = 0.8                                       # of the promise
+FAR = 0.05                                       # of what is taken may go far for the trial's sake, with nothing short
+BUCKETS = 20
+
+
+class Zone:
+    """One zone as this relay sees it."""
+
+    def __init__(self, place: int, tier: int, zoning: Zoning, luck: float) -> None:
+        self.place, self.tier = place, tier
+        self.rows: tuple[list[Unit], list[Unit]] = ([], [])      # of earlier builds, and on trial
+        self.listed = self.usual = 0.0           # weights: now, and the most of late
+        self.able = 0.0
+        self.back = Returning(zoning, luck)
+        self.answered, self.missed = Ring(zoning.span, BUCKETS), Ring(zoning.span, BUCKETS)
+        self.probe_at = self.row_of_misses = 0
+        self.unreached = False                   # out by its silence, not by the list
+
+
+class Zones(Stage):
+    """Owns the zones; told of the list by `arrange`, of time by `beat`."""
+
+    def __init__(self, relay, zoning: Zoning, own: int, many: int) -> None:
+        super().__init__(relay)
+        self.zoning, self.chance = zoning, Chance(mix(relay.chance.state, relay.index, 17))
+        self.order = tiers(own, many, zoning)
+        self.zones = {zone: Zone(zone, place, zoning, self.chance.share())
+                      for place, tier in enumerate(self.order) for zone in tier.zones}
+        self.gives = [Give() for _ in self.order]
+        self.keep = [1.0] + [0.0] * (len(self.order) - 1)        # by tier, what each may have, and the stated
+        self.room = list(self.keep)              # limit of that
+        self.nearest = 0                         # the first tier that has units
+        self.taken = Ring(zoning.span, BUCKETS)
+        self.spilled = [Ring(zoning.span, BUCKETS) for _ in self.order]
+        self.counts = {"kept": 0, "spilled": 0, "rejected": 0, "probes": 0, "matched": 0}
+        relay.tier = self.tier
+
+    def tier(self, unit: Unit) -> int:
+        """How far a unit is, 0 for the nearest tier there is."""
+        zone = self.zones.get(unit.zone)
+        return max(0, zone.tier - self.nearest) if zone else len(self.order)
+
+    # what is known
+    def arrange(self) -> None:
+        """The list has changed."""
+        for zone in self.zones.values():
+            zone.rows, zone.listed = ([], []), 0.0
+        for side, row in enumerate(self.relay.rows):
+            for unit in row:
+                zone = self.zones.get(unit.zone)
+                if zone:
+                    zone.rows[side].append(unit)
+                    zone.listed += unit.weight
+        for zone in self.zones.values():
+            zone.usual = max(zone.usual, zone.listed)
+        self.weigh()
+
+    def beat(self) -> None:
+        now, fade = self.relay.now, 0.5 ** (5_000 / self.zoning.memory)
+        for zone in self.zones.values():
+            zone.usual = max(zone.listed, zone.usual * fade)
+            zone.back.beat(now)
+        for give in self.gives:
+            give.beat(self.zoning.late_part)
+        self.weigh()
+
+    def weigh(self) -> None:
+        """What each zone can do, who is lost and who is back, and the tiers' shares from that."""
+        now, zones = self.relay.now, list(self.zones.values())
+        part = {zone.place: zone.listed / zone.usual if zone.usual else 0.0 for zone in zones}
+        best = max(part.values())
+        for zone in zones:
+            answered, missed = zone.answered.total(now), zone.missed.total(now)
+            gone = part[zone.place] < GONE * best
+            if gone and zone.back.state != OUT:
+                zone.unreached = False
+                zone.back.lost(now)
+            elif not gone and not zone.unreached:
+                zone.back.there(now)
+            seen = answered / (answered + missed) if answered + missed >= FEW else 1.0
+            zone.able = zone.listed * seen * zone.back.level
+        self.nearest = min([zone.tier for zone in zones if zone.usual], default=0)
+        self.keep, self.room = split(self.order, {zone.place: View(zone.usual, zone.able) for zone in zones},
+                                     [each.level for each in self.gives], self.zoning)
+
+    # what is done
+    def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
+        if not row:
+            return False
+        side = self.relay.on_trial(row[0].build)
+        if invocation.tier is None:              # one draw for the invocation, whatever build it ends at
+            self.taken.add(self.relay.now)
+            invocation.tier = self.drawn(invocation)
+        tried: list[int] = []
+        for tier in self.ways(invocation, side):
+            if tier > self.nearest and not self.may_spill(tier):
+                continue
+            for zone in self.of(tier, side, tried):
+                tried.append(zone.place)
+                if self.next.forward(invocation, zone.rows[side]):
+                    self.sent(tier)
+                    return True
+        self.counts["rejected"] += 1
+        return False
+
+    def drawn(self, invocation: Invocation) -> int:
+        """The tier that it falls to by the shares; beyond the last: none may take it."""
+        luck = self.chance.share()
+        for tier, part in enumerate(self.keep):
+            luck -= part
+            if luck < 0:
+                return tier
+        return len(self.order)
+
+    def ways(self, invocation: Invocation, side: int) -> list[int]:
+        """Tiers to try, in order: the drawn one, then what is nearer; for a build on trial whatever has units of it,
+        for a further shot all there is."""
+        here = [tier for tier in range(self.nearest, len(self.order))
+                if any(zone.rows[side] for zone in self.zones.values() if zone.tier == tier)]
+        if invocation.shots:                     # a zone that has just failed it comes last
+            failed = {self.zones[shot.unit.zone].tier for shot in invocation.shots if shot.unit.zone in self.zones}
+            return [tier for tier in here if tier not in failed] + [tier for tier in here if tier in failed]
+        if side:
+            return here
+        if invocation.tier >= len(self.order):
+            return []
+        if invocation.tier not in here:          # no earlier unit there: the next one that has some
+            return [tier for tier in here if tier > invocation.tier] + [tier for tier in here if tier < invocation.tier]
+        owed = self.relay.trial.owed             # far shots of the build on trial want a baseline as far away
+        far = [tier for tier in here if tier > self.nearest and owed[tier - self.nearest] >= 1] if self.relay.rows[1] else []
+        if far and invocation.tier == self.nearest:
+            self.counts["matched"] += 1
+            return [far[0], self.nearest]
+        return [invocation.tier] + [tier for tier in here if tier != invocation.tier]     # cold units refuse most
+
+    def of(self, tier: int, side: int, tried: list[int]) -> list[Zone]:
+        """The tier's zones, one drawn by what they can do first; a zone that is out only when it is due for a look."""
+        zones = [zone for zone in self.zones.values() if zone.tier == tier and zone.rows[side] and zone.place not in tried]
+        due = [zone for zone in zones if zone.unreached and zone.back.state == OUT and self.relay.now >= zone.probe_at]
+        for zone in due:
+            zone.probe_at = self.relay.now + int(PROBE * (0.75 + 0.5 * self.chance.share()))
+            self.counts["probes"] += 1
+        fit = [zone for zone in zones if zone.able > 0]
+        if len(fit) > 1:
+            luck = self.chance.share() * sum(zone.able for zone in fit)
+            first = fit[-1]
+            for zone in fit:
+                luck -= zone.able
+                if luck < 0:
+                    first = zone
+                    break
+            fit = [first] + [zone for zone in fit if zone is not first]
+        return due[:1] + fit
+
+    def may_spill(self, tier: int) -> bool:
+        """The stated limits, of this relay's own figures: a share of all, and a rate over the tier's own use.  One
+        above is let through, so that a relay with little to do can spill at all."""
+        now = self.relay.now
+        taken, spilled = self.taken.total(now), [ring.total(now) for ring in self.spilled]
+        return sum(spilled) < self.zoning.spill_share * taken and spilled[tier] < max(self.room[tier], FAR) * taken
+
+    def sent(self, tier: int) -> None:
+        far = tier > self.nearest
+        self.counts["spilled" if far else "kept"] += 1
+        if far:
+            self.spilled[tier].add(self.relay.now)
+
+    def backward(self, shot: Shot, outcome: str, latency: int) -> None:
+        now, unit = self.relay.now, shot.unit
+        zone = self.zones.get(unit.zone)
+        if zone:
+            if outcome in ANSWERED:
+                zone.answered.add(now)
+                zone.row_of_misses = 0
+            elif outcome in MISSED:
+                zone.missed.add(now)
+                self.missed(zone)
+            late = outcome not in ("served", "full", "moot") or \
+                latency > LATE * shot.invocation.workload.promised * max(1.0, shot.invocation.size)
+            if outcome != "cancelled":
+                self.learn(zone, outcome, late)
+            if unit.rest_until > now:            # it goes to the end of its row, as in the rows of all zones
+                for row in zone.rows:
+                    row.sort(key=lambda other: other is unit)
+        super().backward(shot, outcome, latency)
+
+    def missed(self, zone: Zone) -> None:
+        """At once, not at the next beat: half a second of a lost zone's work is at stake."""
+        zone.row_of_misses += 1
+        if zone.row_of_misses >= UNANSWERED and zone.back.state != OUT:
+            zone.unreached = True
+            zone.back.lost(self.relay.now)
+            self.weigh()
+
+    def learn(self, zone: Zone, outcome: str, late: bool) -> None:
+        if zone.tier > self.nearest:
+            self.gives[zone.tier].saw(late)
+        if zone.back.state == RAMP:
+            zone.back.saw(not late)
+        if zone.unreached and outcome in ANSWERED:
+            zone.unreached = False
+            zone.missed = Ring(self.zoning.span, BUCKETS)        # what was missed before says nothing now
+            zone.back.there(self.relay.now)
--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -17,7 +17,8 @@
 def run(chosen: dict[str, Any], environment: Mapping[str, str]) -> int:
     """`serve` and `check`; returns the exit code."""
     try:
-        told, document = read(environment), operators(chosen["--document"])
+        told = read(environment)
+        document = operators(chosen["--document"], told.facts)
         if chosen["check"]:
             print(f"{told.name}: listens at {told.listen}; {len(told.known.entries)} units known; "
                   f"{len(told.facts['workloads'])} workloads; {len(told.peers)} relays")
@@ -45,15 +46,17 @@
         logger.error("configuration not taken: {}", " ".join(str(problem).split()))
 
 
-def operators(path: str) -> Any:
+def operators(path: str, facts: dict[str, Any]) -> Any:
     """The operator's document, None where there is no file; its library is brought in only where there is one."""
     if not os.path.exists(path):
         return None
     from ..setup import document
     try:
-        return document.read(path)
+        found = document.read(path)
+        found.seats(facts)                       # whether it fits what the platform told
+        return found
     except document.BadDocument as problem:
-        raise BadStart(str(problem)) from None
+        raise BadStart(f"{path}: {problem}" if path not in str(problem) else str(problem)) from None
 
 
 def serve(told: Any, document: Any = None) -> int:
@@ -71,11 +74,15 @@
         if reactor.running:
             reactor.stop()
 
+    def counted() -> None:
+        relay.count_seats()
+        logger.info("counters {}", relay.counters.show())
+
     def stop(*_: Any) -> None:
         reactor.callFromThread(lambda: relay.stop().addCallback(ended))
 
     def show(*_: Any) -> None:
-        reactor.callFromThread(lambda: logger.info("counters {}", relay.counters.show()))
+        reactor.callFromThread(counted)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, stop)
--- a/tealsail/facade.py
+++ b/tealsail/facade.py
@@ -7,7 +7,7 @@
 """
 import heapq
 import traceback
-from typing import Any, Callable, NamedTuple, Union
+from typing import Any, Callable, Iterable, NamedTuple, Union
 
 from .policy import Relay
 
@@ -123,7 +123,8 @@
     it handles a call is kept and returned.  An exception of the module is logged and costs at most the
     invocation at hand its answer."""
 
-    def __init__(self, facts: dict[str, Any], seed: int, clock: Callable[[], int]) -> None:
+    def __init__(self, facts: dict[str, Any], seed: int, clock: Callable[[], int],
+                 seats: Iterable[Callable[[Relay], Any]] = ()) -> None:
         self.clock = clock
         self.step: Step = None
         self.wants = Wants([], [], [], [])
@@ -132,6 +133,8 @@
         self.workloads = {each["name"]: place for place, each in enumerate(facts.get("workloads", []))}
         self.customers = {each["name"]: place for place, each in enumerate(facts.get("customers", []))}
         self.relay = Relay(self, facts, seed, clock())
+        for seat in seats:                       # stages of other choices (tealsail/choices/)
+            self.relay.seat(seat(self.relay))
 
     def pick(self, workload: str, customer: str, key: str | None, give_up: int, work: int = 0,
              repeat: bool = False) -> tuple[int, Step]:
--- a/tealsail/lab/loopback/troupe.py
+++ b/tealsail/lab/loopback/troupe.py
@@ -21,6 +21,16 @@
 LOG_MOST = 64 * 1024 * 1024                      # bytes of one relay's log that are kept
 
 
+def toml(tree: dict[str, Any], path: str = "") -> str:
+    """A document of tables and plain values, as TOML.  Keys are quoted; text has JSON's escapes, which are TOML's."""
+    plain = {name: value for name, value in tree.items() if not isinstance(value, dict)}
+    lines = [f"[{path}]"] * bool(path) + [f"{json.dumps(name)} = {json.dumps(value)}" for name, value in plain.items()]
+    for name, value in tree.items():
+        if isinstance(value, dict):
+            lines.append(toml(value, f"{path}.{json.dumps(name)}" if path else json.dumps(name)))
+    return "\n".join(lines) + "\n"
+
+
 class Running(ProcessProtocol):
     """One relay process; its log goes to a file."""
 
@@ -119,9 +129,13 @@
         path = self.folder / f"relay-{relay}.json"
         path.write_text(json.dumps(self.told(relay)))
         running = Running(self, relay, self.folder / f"relay-{relay}.log")
+        document = []
+        if theatre.scenario.document:
+            (self.folder / "tealsail.toml").write_text(toml(theatre.scenario.document))
+            document = [f"--document={self.folder / 'tealsail.toml'}"]
         environment = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
         process = theatre.reactor.spawnProcess(
-            running, sys.executable, [sys.executable, "-B", "-m", "tealsail", "serve"],
+            running, sys.executable, [sys.executable, "-B", "-m", "tealsail", "serve", *document],
             environment | {"EDGE_CONFIG": str(path)}, childFDs={0: "w", 1: "r", 2: "r"})
         self.running[relay] = running, process
         self.all.append(running)
--- a/tealsail/lab/scenario.py
+++ b/tealsail/lab/scenario.py
@@ -12,6 +12,7 @@
 from msgspec import Meta, Struct
 
 from ..settings import facts, nested
+from ..setup.document import BadDocument, Document, convert as read_document
 from ..world.builds import Build
 from ..world.clients import STREAM, Habits, Workload
 from ..world.day import Parts
@@ -167,6 +168,7 @@
     workload: Annotated[list[WorkloadTable], Meta(min_length=1, max_length=64)]
     customer: Annotated[list[CustomerTable], Meta(max_length=1000)] = []
     builds: Annotated[list[BuildTable], Meta(max_length=100)] = []
+    document: dict[str, Any] = {}                # the relays' operator's document, as in deploy/tealsail.toml
     settings: dict[str, Any] = {}                # over the relays' own, in the platform's names, as paths
 
     # what the world is made of
@@ -260,6 +262,10 @@
             lay(tree, path, value)
         return tree
 
+    def operators(self) -> Document:
+        """Raises BadDocument."""
+        return read_document(self.document)
+
     def facts(self, relay: int) -> dict[str, Any]:
         """The same under the module's names."""
         return facts(nested(self.relay_settings(relay)))
@@ -364,6 +370,13 @@
     for pair in scenario.network.distances_ms:
         if len(pair.split()) != 2 or not set(pair.split()) <= set(scenario.fleet.zones):
             wrong(f"network.distances_ms.{pair}", "not two of fleet.zones")
+    try:
+        for relay in range(min(scenario.fleet.relays, len(scenario.fleet.zones))):
+            scenario.operators().seats(scenario.facts(relay))
+    except BadDocument as problem:
+        wrong("document", str(problem))
+    if scenario.operators().recording:
+        wrong("document.recording", "a model or trial writes its own record")
     try:
         faults = scenario.faults()
     except Unclear as problem:
--- a/tealsail/lab/virtual.py
+++ b/tealsail/lab/virtual.py
@@ -46,7 +46,8 @@
 
     def __init__(self, model: "Model", index: int, start: int) -> None:
         self.model, self.index = model, index
-        self.facade = Facade(model.scenario.facts(index), mix(model.seed, index, start, 7), model.clock)
+        facts = model.scenario.facts(index)
+        self.facade = Facade(facts, mix(model.seed, index, start, 7), model.clock, model.document.seats(facts))
         self.serving: dict[int, Serving] = {}
         self.kept: dict[str, list[int]] = {}     # unit -> idle connections, and when one was last used
         self.timer = NEVER
@@ -193,6 +194,7 @@
     def __init__(self, scenario: Scenario, seed: int, listeners: list[Callable[[Line], Any]]) -> None:
         self.scenario, self.seed, self.listeners = scenario, seed, listeners
         self.now = self.events = self.count = 0
+        self.document = scenario.operators()
         self.heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.parts = scenario.parts()
         self.day = Day(self.parts, seed, clients_of(scenario, seed))
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -125,7 +125,7 @@
         self.reactor, self.told, self.counters = reactor, told, counters or Counters()
         self.last, self.due = 0, 0
         facts = told.facts
-        self.facade = Facade(facts, told.seed, self.clock)
+        self.facade = Facade(facts, told.seed, self.clock, document.seats(facts) if document else ())
         room = max(FEWEST, told.sockets - SPARE) // 2
         self.units = Units(reactor, self.counters, facts.get("connect_wait", TENTHS) / TENTHS,
                            facts.get("idle_time", 30 * TENTHS) / TENTHS, room)
@@ -251,6 +251,12 @@
         self.counters.add("faults")
         logger.error("fault: {}", reason.getTraceback())
 
+    def count_seats(self) -> None:
+        """What the seats of other choices counted, among the counters."""
+        for seat in self.facade.relay.seats:
+            for name, count in seat.counts.items():
+                self.counters.counts[f"zones.{name}"] = count
+
     def stop(self) -> Deferred[None]:
         """Clients still come for a moment; then no new ones, and the end once all is answered."""
         if not self.stopped:
@@ -274,5 +280,6 @@
         self.platform.stop()
         if self.record:
             self.record.close()
+        self.count_seats()
         logger.info("counters {}", self.counters.show())
         self.stopped.callback(None)
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -165,6 +165,7 @@
         self.give_up, self.size, self.repeat = give_up, size, repeat
         self.shots: list[Shot] = []
         self.over, self.luck = False, 1.0        # the luck that decides whether a cold unit may get it
+        self.tier: int | None = None             # drawn, where there are tiers of zones
         self.drawn: bool | None = None           # drawn for the build on trial, or not; None: a further shot
 
     def out(self) -> int:
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -31,6 +31,7 @@
 SLOWER, UNEVEN, REJECT_AT, LEAST = 1.6, 0.3, 0.01, 20        # medians' ratio, for few units, level, outcomes
 ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 HORIZON, PATIENCE = 3 * SECOND + SECOND // 4, 5 * SECOND      # after the newest listed start; and if thin
+MATCHED = 20                                     # far shots of the canary that may wait for a baseline
 SKIP, LISTED, LAUNCH = 2 * SECOND, 0.7, 8 * SECOND           # a new unit's; a stage's units; by then all
 
 
@@ -137,7 +138,8 @@
         self.new_build(-1)
 
     def new_build(self, build: int) -> None:
-        self.build, self.owed = build, 0.0       # how far the canary group is ahead of the baseline
+        self.build = build
+        self.owed = defaultdict(float)           # how far the canary group is ahead of the baseline, by tier
         self.groups = {name: [int(count) * (name == "before") for count in self.lately] for name in GROUPS}
         self.taken_before, self.room_before = self.relay.admission.lately(), self.relay.room
 
@@ -174,10 +176,13 @@
         return any(self.next.forward(invocation, row) for row in ((new, old) if wanted else (old, new)))
 
     def group_of(self, unit: Unit) -> list[int] | None:
-        name = "canary" if unit.build == self.build else "baseline"
-        if unit.build > self.build or name == "baseline" and self.owed <= 2 * self.relay.chance.share():
+        """Groups are matched in distance too: else a far zone would read as a slow build."""
+        name, tier = "canary" if unit.build == self.build else "baseline", self.relay.tier(unit)
+        if unit.build > self.build or name == "baseline" and self.owed[tier] <= 2 * self.relay.chance.share():
             return None
-        self.owed = min(50.0, self.owed + (1 if name == "canary" else -1))
+        if name == "canary" and tier and self.owed[tier] >= MATCHED:
+            return None                          # no earlier unit as far away to hold it against
+        self.owed[tier] = min(50.0, self.owed[tier] + (1 if name == "canary" else -1))
         return self.groups[name]
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
@@ -203,10 +208,11 @@
 
     def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
         used, few, pick = [shot.unit for shot in invocation.shots], int(self.few), self.relay.chance.pick
-        side = row is self.relay.rows[1]
+        side = bool(row) and self.relay.on_trial(row[0].build)
         if invocation.luck < self.relay.cold_share[side][invocation.drawn is side]:
             cold = [unit for unit in row if self.relay.warmth(unit) < 1]
-            row, few = cold + row, min(few, len(cold))
+            if cold:                             # else they have warmed since the last weighing, or are in other zones
+                row, few = cold + row, min(few, len(cold))
         fit = (unit for unit in row if self.fit(unit) and unit not in used)
         near = list(islice(fit, few))
         if near and all(unit.out for unit in near):
@@ -527,12 +533,19 @@
         self.choice, self.admission, self.gate = Choice(self), Admission(self), Gate(self)
         self.intake, self.trial = Intake(self), Trial(self)
         self.judge = Judge(self)
+        self.seats: list[Any] = []               # stages of other choices, before the choice of unit
+        self.tier = lambda unit: 0               # how far a unit is, where a seat knows
         self.on_told, self.on_vote_answer = self.judge.hear, self.judge.answered
         link(self.intake, self.admission, self.trial, self.choice, self.gate)
         host.wake(now + int((1 + self.chance.share()) * SECOND / 4), self.WAKE_BEAT)
         if self.facts["list_mode"] == "on_request":
             host.watch_list()
 
+    def seat(self, stage: Any) -> None:
+        """A stage between the choice of build and that of the unit; it is told of the list and of time."""
+        self.seats.append(stage)
+        link(self.trial, *self.seats, self.choice)
+
     def warmth(self, unit: Unit) -> float:
         """The part of its capacity that a unit has at the least."""
         age = max(0, self.now - unit.started)
@@ -551,6 +564,8 @@
         self.rows = tuple(row[0] if len(row) == 1 else sorted(chain(*row), key=lambda unit: unit.order)
                           for row in (old, new))
         self.trial.weigh()
+        for seat in self.seats:
+            seat.arrange()
 
     def on_trial(self, build: int) -> bool:
         return build > self.build >= 0 or (build == self.build and self.phase != RELEASED)
@@ -628,6 +643,8 @@
             self.judge.consider()
             (self.trial.weigh if self.judge.beat % 40 else self.arrange)()   # who went to the end is forgiven
             self.judge.tell()
+            for seat in self.seats:
+                seat.beat()
         elif token == self.WAKE_LIST:
             self.host.watch_list()
         elif token - self.WAKE_LATE in self.known:
--- /dev/null
+++ b/tests/test_choices.py
@@ -0,0 +1,187 @@
+"""Tiers, spill and the way back: choices without I/O."""
+import unittest
+
+from hypothesis import given, strategies as st
+
+from tealsail.choices.returning import OUT, RAMP, UP, WAITING, Returning
+from tealsail.choices.spill import Give, View, split
+from tealsail.choices.tiers import Tier, Zoning, tiers
+
+SECOND = 10_000
+RULES = Zoning({})
+WEIGHTS = st.floats(0.1, 1000)
+
+
+class Order(unittest.TestCase):
+    def test_own_zone_first_and_equally_near_ones_together(self) -> None:
+        rules = Zoning({(0, 1): 1.0, (2, 0): 1.0, (0, 3): 5.0})
+        self.assertEqual(tiers(0, 4, rules), [Tier(0.0, (0,)), Tier(1.0, (1, 2)), Tier(5.0, (3,))])
+        self.assertEqual(tiers(3, 4, rules), [Tier(0.0, (3,)), Tier(1.0, (1, 2)), Tier(5.0, (0,))])
+
+
+class Spills(unittest.TestCase):
+    """Zone 0 is the relay's own; 1 and 2 are equally near, 3 is far."""
+    ORDER = [Tier(0.0, (0,)), Tier(1.0, (1, 2)), Tier(5.0, (3,))]
+
+    def of(self, *able: float, give: float = 1.0, **rules) -> list:
+        views = {zone: View(10.0, each) for zone, each in enumerate(able)}
+        order = [tier._replace(zones=tuple(zone for zone in tier.zones if zone in views)) for tier in self.ORDER]
+        found = split(order, views, [give] * 3, RULES._replace(**rules))
+        return [round(each, 3) for each in found.keep]
+
+    def test_a_tier_in_order_keeps_all_also_with_a_few_units_out(self) -> None:
+        self.assertEqual(self.of(10, 10, 10), [1.0, 0.0, 0.0])
+        self.assertEqual(self.of(7.5, 10, 10), [1.0, 0.0, 0.0])
+
+    def test_half_a_tier_out_spills_what_the_rest_can_not_do(self) -> None:
+        self.assertEqual(self.of(5, 10, 10), [0.7, 0.3, 0.0])
+
+    def test_a_lost_tier_spills_to_the_stated_limits_and_the_rest_is_rejected(self) -> None:
+        self.assertEqual(self.of(0, 10, 10), [0.0, 1.0, 0.0])    # half on top of each of two
+        self.assertEqual(self.of(0, 10, 10, spill_over=0.2), [0.0, 0.4, 0.0])
+        self.assertEqual(self.of(0, 10, 10, spill_share=0.6), [0.0, 0.6, 0.0])
+        self.assertEqual(self.of(0, 10, 10, 10, spill_over=0.2), [0.0, 0.4, 0.2])    # and on to the far one
+        self.assertEqual(self.of(0, 10, 10, give=0.5), [0.0, 0.5, 0.0])
+
+    def test_two_lost_zones_share_the_room_of_the_third(self) -> None:
+        self.assertEqual(self.of(0, 0, 10), [0.0, 0.25, 0.0])    # half on top, half of it for each
+        self.assertEqual(self.of(0, 5, 10)[1], 0.385)            # one lost, one short of 0.3
+
+    def test_a_tier_that_is_short_itself_takes_less(self) -> None:
+        self.assertEqual(self.of(0, 7, 10, spill_over=0.3)[1], 0.294)
+        self.assertEqual(self.of(0, 5, 5, 10, spill_over=0.2), [0.0, 0.0, 0.125])
+
+    def test_where_all_fell_alike_nothing_spills(self) -> None:
+        self.assertEqual(self.of(5, 5, 5), [1.0, 0.0, 0.0])      # beside: a release halves what is listed
+        self.assertEqual(self.of(0, 0, 0), [0.0, 0.0, 0.0])
+
+    def test_under_the_panic_threshold_the_rest_of_a_tier_is_not_preferred(self) -> None:
+        self.assertEqual(self.of(2, 10, 10)[0], 0.2)
+        self.assertEqual(self.of(4, 10, 10)[0], 0.56)
+
+    def test_a_relay_whose_zone_never_had_units_uses_the_next_as_its_own(self) -> None:
+        views = {0: View(0.0, 0.0), 1: View(10.0, 10.0), 2: View(10.0, 10.0)}
+        self.assertEqual(split(self.ORDER[:2], views, [1.0] * 2, RULES).keep, [0.0, 1.0])
+
+    @given(st.lists(st.tuples(WEIGHTS, st.floats(0, 1.5)), min_size=1, max_size=6), st.data(), st.floats(0, 1), st.floats(0, 2))
+    def test_no_zone_is_sent_more_than_the_stated_rate_by_all_relays_together(self, rows, data, share, over) -> None:
+        """Each zone's relays decide alone; what comes to a zone from all others is summed up."""
+        rules = RULES._replace(spill_share=share, spill_over=over)
+        views = {zone: View(weight, weight * part) for zone, (weight, part) in enumerate(rows)}
+        costs = {(a, b): data.draw(st.sampled_from([1.0, 2.0])) for a in views for b in views if a < b}
+        come = dict.fromkeys(views, 0.0)
+        for own in views:
+            order = tiers(own, len(views), Zoning(costs))
+            found = split(order, views, [1.0] * len(order), rules)
+            self.assertTrue(all(each >= 0 for each in found.keep))
+            self.assertLessEqual(sum(found.keep), 1 + 1e-9)
+            self.assertLessEqual(sum(found.keep[1:]), share + 1e-9)
+            for tier, part in list(zip(order, found.keep))[1:]:
+                room = {zone: views[zone].usual * max(0.0, over - RULES.spare * max(0.0, 1 - health(views, zone)))
+                        for zone in tier.zones}
+                for zone in tier.zones:
+                    if sum(room.values()):
+                        come[zone] += part * views[own].usual * room[zone] / sum(room.values())
+        for zone, view in views.items():
+            self.assertLessEqual(come[zone], over * view.usual * (1 + 1e-6) + 1e-9)
+
+    def test_spill_falls_back_when_what_spilled_comes_late_and_rises_slowly(self) -> None:
+        give = Give()
+        for _ in range(4):
+            for late in (True, False, False):
+                give.saw(late)
+            give.beat(0.1)
+        self.assertAlmostEqual(give.level, (2 / 3) ** 4)
+        for _ in range(8):
+            give.saw(False)
+            give.beat(0.1)
+        self.assertAlmostEqual(give.level, (2 / 3) ** 4 + 8 * 0.05)
+
+    def test_two_hundred_relays_that_see_each_others_spill_do_not_swing(self) -> None:
+        """A zone of three is lost; each relay sees lateness where the other two are over what they can do.  Usual use
+        is 70%, so half of the lost zone's work fits: the sum must settle near that, with no great swings."""
+        gives, load = [Give() for _ in range(200)], []
+        views = {0: View(10.0, 0.0), 1: View(10.0, 10.0), 2: View(10.0, 10.0)}
+        for beat in range(200):
+            spilled = sum(split(self.ORDER[:2], views, [1.0, give.level], RULES).keep[1] for give in gives) / len(gives)
+            busy = 0.7 * (1 + spilled / 2)
+            load.append(busy)
+            for give in gives:
+                for _ in range(4):
+                    give.saw(busy > 0.95)
+                give.beat(0.1)
+        self.assertLess(max(load[20:]), 1.0)
+        self.assertGreater(sum(load[50:]) / 150, 0.8)
+
+
+def health(views: dict, zone: int) -> float:
+    part = {each: view.able / view.usual for each, view in views.items()}
+    return part[zone] / (max(part.values()) or 1)
+
+
+class Ways(unittest.TestCase):
+    def back(self, rules: Zoning = RULES, flaps: int = 0, luck: float = 0.5) -> tuple[Returning, int]:
+        zone, now = Returning(rules, luck), 0
+        zone.lost(now)
+        zone.flaps = flaps
+        zone.there(now)
+        return zone, now
+
+    def levels(self, zone: Returning, now: int, seconds: int, good: int = 10, bad: int = 0) -> list[float]:
+        found = []
+        for _ in range(2 * seconds):
+            now += SECOND // 2
+            for _ in range(good):
+                zone.saw(True)
+            for _ in range(bad):
+                zone.saw(False)
+            zone.beat(now)
+            found.append(zone.level)
+        return found
+
+    def test_nothing_while_out_then_a_wait_then_steps_by_time_and_evidence(self) -> None:
+        zone, now = self.back()
+        found = self.levels(zone, now, 8)
+        self.assertEqual(found[:2], [0.0, 0.05])
+        self.assertEqual(sorted(found), found)
+        self.assertEqual(zone.state, UP)
+        for early, late in zip(found, found[2:]):                # in a second never more than twice as much
+            self.assertLessEqual(late, max(0.05, 2 * early))
+
+    def test_without_answers_no_step_whatever_the_clock_says(self) -> None:
+        zone, now = self.back()
+        self.assertEqual(set(self.levels(zone, now, 30, good=0)), {0.0, 0.05})
+
+    def test_a_zone_that_nothing_is_sent_to_is_whole_again_once_it_was_calm(self) -> None:
+        zone, now = self.back()
+        self.assertEqual(self.levels(zone, now, 32, good=0)[-1], 1.0)
+
+    def test_it_turns_back_when_the_zone_falters(self) -> None:
+        zone, now = self.back()
+        up = self.levels(zone, now, 4)
+        down = self.levels(zone, 4 * SECOND, 3, good=6, bad=4)
+        self.assertLess(down[-1], up[-1])
+        self.assertEqual((down[-1], zone.state), (0.05, RAMP))
+
+    def test_a_zone_that_flaps_waits_longer_each_time_with_a_bound_and_a_calm_one_is_forgiven(self) -> None:
+        zone, now, waits = Returning(RULES, 0.5), 10 * SECOND * 100, []
+        for _ in range(9):
+            zone.lost(now)
+            zone.there(now)
+            waits.append(zone.wait())
+            now += 5 * SECOND
+        self.assertEqual(waits, [min(600_000, 10_000 << flap) for flap in range(9)])
+        zone.turn(UP, 1.0, now)
+        zone.lost(now + RULES.calm + 1)
+        self.assertEqual((zone.flaps, zone.state), (0, OUT))
+        zone.lost(now + RULES.calm + 2)          # told twice is lost once
+        self.assertEqual(zone.flaps, 0)
+        zone.there(now)
+        self.assertEqual(zone.state, WAITING)
+
+    def test_relays_do_not_come_back_at_one_moment(self) -> None:
+        self.assertEqual([self.back(luck=luck)[0].wait() for luck in (0.0, 0.5, 1.0)], [7_500, 10_000, 12_500])
+
+
+if __name__ == "__main__":
+    unittest.main()
