--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -107,6 +107,8 @@
         if invocation.tier is None:              # one draw for the invocation, whatever build it ends at
             self.taken.add(self.relay.now)
             invocation.tier = self.drawn(invocation)
+            if self.looked(invocation, side):
+                return True
         tried: list[int] = []
         for tier in self.ways(invocation, side):
             if tier > self.nearest and not self.may_spill(tier):
@@ -119,6 +121,19 @@
         self.counts["rejected"] += 1
         return False
 
+    def looked(self, invocation: Invocation, side: int) -> bool:
+        """Now and then one that may run again goes to a zone that was out of reach, to see whether it still is."""
+        now = self.relay.now
+        for zone in self.zones.values():
+            if zone.unreached and zone.back.state == OUT and now >= zone.probe_at and zone.rows[side] \
+                    and invocation.workload.effect == "harmless":
+                zone.probe_at = now + int(PROBE * (0.75 + 0.5 * self.chance.share()))
+                if self.next.forward(invocation, zone.rows[side]):
+                    self.counts["probes"] += 1
+                    self.sent(zone.tier)
+                    return True
+        return False
+
     def drawn(self, invocation: Invocation) -> int:
         """The tier that it falls to by the shares; beyond the last: none may take it."""
         luck = self.chance.share()
@@ -150,13 +165,9 @@
         return [invocation.tier] + [tier for tier in here if tier != invocation.tier]     # cold units refuse most
 
     def of(self, tier: int, side: int, tried: list[int]) -> list[Zone]:
-        """The tier's zones, one drawn by what they can do first; a zone that is out only when it is due for a look."""
-        zones = [zone for zone in self.zones.values() if zone.tier == tier and zone.rows[side] and zone.place not in tried]
-        due = [zone for zone in zones if zone.unreached and zone.back.state == OUT and self.relay.now >= zone.probe_at]
-        for zone in due:
-            zone.probe_at = self.relay.now + int(PROBE * (0.75 + 0.5 * self.chance.share()))
-            self.counts["probes"] += 1
-        fit = [zone for zone in zones if zone.able > 0]
+        """The tier's zones that may be used, one drawn by what they can do first."""
+        fit = [zone for zone in self.zones.values()
+               if zone.tier == tier and zone.rows[side] and zone.able > 0 and zone.place not in tried]
         if len(fit) > 1:
             luck = self.chance.share() * sum(zone.able for zone in fit)
             first = fit[-1]
@@ -166,7 +177,7 @@
                     first = zone
                     break
             fit = [first] + [zone for zone in fit if zone is not first]
-        return due[:1] + fit
+        return fit
 
     def may_spill(self, tier: int) -> bool:
         """The stated limits, of this relay's own figures: a share of all, and a rate over the tier's own use.  One
