--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -46,6 +46,9 @@
         self.keep = [1.0] + [0.0] * (len(self.order) - 1)        # by tier, what each may have, and the stated
         self.room = list(self.keep)              # limit of that
         self.nearest = 0                         # the first tier that has units
+        self.having: list[list[list[Zone]]] = [[[] for _ in self.order] for _ in (0, 1)]     # by side and tier
+        self.here: list[list[int]] = [[], []]    # tiers that have units, by side
+        self.out = 0                             # zones that are out of reach, for all that is known
         self.taken = Ring(zoning.span, BUCKETS)
         self.spilled = [Ring(zoning.span, BUCKETS) for _ in self.order]
         self.counts = {"kept": 0, "spilled": 0, "rejected": 0, "probes": 0, "matched": 0}
@@ -69,6 +72,9 @@
                     zone.listed += unit.weight
         for zone in self.zones.values():
             zone.usual = max(zone.usual, zone.listed)
+        self.having = [[[zone for zone in self.zones.values() if zone.tier == tier and zone.rows[side]]
+                        for tier in range(len(self.order))] for side in (0, 1)]
+        self.here = [[tier for tier, zones in enumerate(having) if zones] for having in self.having]
         self.weigh()
 
     def beat(self) -> None:
@@ -95,6 +101,7 @@
                 zone.back.there(now)
             seen = answered / (answered + missed) if answered + missed >= FEW else 1.0
             zone.able = zone.listed * seen * zone.back.level
+        self.out = sum(zone.unreached for zone in zones)
         self.nearest = min([zone.tier for zone in zones if zone.usual], default=0)
         self.keep, self.room = split(self.order, {zone.place: View(zone.usual, zone.able) for zone in zones},
                                      [each.level for each in self.gives], self.zoning)
@@ -107,7 +114,7 @@
         if invocation.tier is None:              # one draw for the invocation, whatever build it ends at
             self.taken.add(self.relay.now)
             invocation.tier = self.drawn(invocation)
-            if self.looked(invocation, side):
+            if self.out and self.looked(invocation, side):
                 return True
         tried: list[int] = []
         for tier in self.ways(invocation, side):
@@ -146,8 +153,7 @@
     def ways(self, invocation: Invocation, side: int) -> list[int]:
         """Tiers to try, in order: the drawn one, then what is nearer; for a build on trial whatever has units of it,
         for a further shot all there is."""
-        here = [tier for tier in range(self.nearest, len(self.order))
-                if any(zone.rows[side] for zone in self.zones.values() if zone.tier == tier)]
+        here = self.here[side]
         if invocation.shots:                     # a zone that has just failed it comes last
             failed = {self.zones[shot.unit.zone].tier for shot in invocation.shots if shot.unit.zone in self.zones}
             return [tier for tier in here if tier not in failed] + [tier for tier in here if tier in failed]
@@ -155,10 +161,13 @@
             return here
         if invocation.tier >= len(self.order):
             return []
+        if invocation.tier == self.nearest and len(here) == 1:
+            return here
         if invocation.tier not in here:          # no earlier unit there: the next one that has some
             return [tier for tier in here if tier > invocation.tier] + [tier for tier in here if tier < invocation.tier]
         owed = self.relay.trial.owed             # far shots of the build on trial want a baseline as far away
-        far = [tier for tier in here if tier > self.nearest and owed[tier - self.nearest] >= 1] if self.relay.rows[1] else []
+        on_trial = bool(self.relay.rows[1])
+        far = [tier for tier in here if tier > self.nearest and owed[tier - self.nearest] >= 1] if on_trial else []
         if far and invocation.tier == self.nearest:
             self.counts["matched"] += 1
             return [far[0], self.nearest]
@@ -166,8 +175,7 @@
 
     def of(self, tier: int, side: int, tried: list[int]) -> list[Zone]:
         """The tier's zones that may be used, one drawn by what they can do first."""
-        fit = [zone for zone in self.zones.values()
-               if zone.tier == tier and zone.rows[side] and zone.able > 0 and zone.place not in tried]
+        fit = [zone for zone in self.having[side][tier] if zone.able > 0 and zone.place not in tried]
         if len(fit) > 1:
             luck = self.chance.share() * sum(zone.able for zone in fit)
             first = fit[-1]
