--- a/tealsail/choices/spill.py
+++ b/tealsail/choices/spill.py
@@ -1,8 +1,9 @@
 """Which part of its invocations a relay keeps in each tier, and which part no tier may take.
 
-From what the zones can do now against what is usual there.  Every relay works this out alone, from the list and from what
-it sees; nothing depends on what others have just decided, so relays that act at one moment do not swing.  Relays of zones
-that are short share the next tier's room in proportion to what their zones are short of, which the list tells all of them alike.
+From what the zones can do now against what is usual there.  Every relay works this out alone, from the list and from
+what it sees; nothing depends on what others have just decided, so relays that act at one moment do not swing.  Relays
+of zones that are short share the next tier's room in proportion to what their zones are short of, which the list tells
+all of them alike.
 """
 from typing import NamedTuple
 
--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -1,7 +1,7 @@
 """The stage between the choice of build and the choice of unit: which zone, by tiers, spill and ways back.
 
-It keeps the rows of both builds by zone and hands the row of one zone on.  The limits on spill are kept here, at each send: a
-share of what this relay takes, and a rate over the next tier's own use.
+It keeps the rows of both builds by zone and hands the row of one zone on.  The limits on spill are kept here, at each
+send: a share of what this relay takes, and a rate over the next tier's own use.
 """
 from ..parts import Chance, Invocation, Ring, Shot, Stage, Unit, mix
 from .returning import OUT, RAMP, Returning
--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -124,25 +124,31 @@
     return table
 
 
-def chart(path: str | None, out: Console, options: Sequence[runs.Option], real: Sequence[Sequence[Result]] = ()) -> None:
+def chart(path: str | None, out: Console, options: Sequence[runs.Option],
+          real: Sequence[Sequence[Result]] = ()) -> None:
     if path:
         from ..lab import charts
         charts.options(path, options, real)
         out.print(f"chart: {path}")
 
 
+def one_day(chosen: dict[str, Any], out: Console, result: Result, breaches: Sequence[Breach]) -> int:
+    """All that is known of one day."""
+    for note in result.notes:
+        out.print(note)
+    out.print(sent_table(result))
+    out.print(day_table(result))
+    save(chosen["--json"], result)
+    chart(chosen["--chart"], out, [runs.Option(result.name, [result], {}, list(breaches))])
+    return int(say_breaches(out, breaches, result.breaches))
+
+
 def model_run(chosen: dict[str, Any], out: Console) -> int:
     scenario = read(chosen["SCENARIO"])
     if chosen["--seed"] or chosen["--record"]:   # one day, in full
         seed = number(chosen, "--seed", 0, 1 << 62) if chosen["--seed"] else scenario.seed
         result, breaches = runs.play(scenario, seed, chosen["--record"])
-        for note in result.notes:
-            out.print(note)
-        out.print(sent_table(result))
-        out.print(day_table(result))
-        save(chosen["--json"], result)
-        chart(chosen["--chart"], out, [runs.Option(scenario.name, [result], {}, breaches)])
-        return int(say_breaches(out, breaches, result.breaches))
+        return one_day(chosen, out, result, breaches)
     option, = modelled(chosen, [scenario])
     table = Table(title=f"{scenario.name}: {len(option.results)} days in virtual time, 95% bars for one day")
     for column in ("figure", "mean [bar]", "mean known to"):
@@ -150,8 +156,8 @@
     for name, bar in option.bars.items():
         table.add_row(name, bar_text(name, bar), f"±{shown(bar.known, name)}")
     out.print(table)
-    save(chosen["--json"], {"scenario": scenario.name, "bars": {name: bar._asdict() for name, bar in option.bars.items()},
-                            "days": option.results})
+    save(chosen["--json"], {"scenario": scenario.name, "days": option.results,
+                            "bars": {name: bar._asdict() for name, bar in option.bars.items()}})
     chart(chosen["--chart"], out, [option])
     return int(say_breaches(out, option.breaches, total(option.results)))
 
@@ -173,7 +179,7 @@
     scenarios = [read(chosen[name]) for name in ("A", "B")]
     first, second = modelled(chosen, scenarios)
     gaps = runs.compared(first, second)
-    table = Table(title=f"A: {first.name}   B: {second.name}   ({len(first.results)} days each, the same random numbers)")
+    table = Table(title=f"A: {first.name}   B: {second.name}   ({len(first.results)} days each, on the same chance)")
     for column in ("figure", "A [bar]", "B [bar]", "B - A [95%]", "better"):
         table.add_column(column, justify="left" if column == "figure" else "right")
     for name, gap in gaps.items():
@@ -216,8 +222,8 @@
             table.add_row(name, bar_text(name, bar), " ".join(shown(value, name) for value in values),
                           "yes" if all(held) else f"{sum(held)} of {len(held)}" if any(held) else "NO")
         out.print(table)
-    out.print(f"inside their bars: {inside} of {inside + outside} real figures ({inside / (inside + outside or 1):.1%}; "
-              "nominal 95%)")
+    part = inside / (inside + outside or 1)
+    out.print(f"inside their bars: {inside} of {inside + outside} real figures ({part:.1%}; nominal 95%)")
     save(chosen["--json"], {"bars": [{name: bar._asdict() for name, bar in option.bars.items()} for option in options],
                             "real": real, "inside": inside, "outside": outside})
     chart(chosen["--chart"], out, options, real)
@@ -258,23 +264,11 @@
     seed = number(chosen, "--seed", 0, 1 << 62) if chosen["--seed"] else scenario.seed
     with Shown(scenario.name) as progress:
         result, breaches = trials.play(scenario, seed, chosen["--record"], chosen["--logs"], progress)
-    for note in result.notes:
-        out.print(note)
-    out.print(sent_table(result))
-    out.print(day_table(result))
-    save(chosen["--json"], result)
-    chart(chosen["--chart"], out, [runs.Option(scenario.name, [result], {}, breaches)])
-    return int(say_breaches(out, breaches, result.breaches))
+    return one_day(chosen, out, result, breaches)
 
 
 def record_show(chosen: dict[str, Any], out: Console) -> int:
-    result, breaches = runs.judge(chosen["FILE"])
-    for note in result.notes:
-        out.print(note)
-    out.print(sent_table(result))
-    out.print(day_table(result))
-    save(chosen["--json"], result)
-    return int(say_breaches(out, breaches, result.breaches))
+    return one_day(chosen, out, *runs.judge(chosen["FILE"]))
 
 
 def record_import(chosen: dict[str, Any], out: Console) -> int:
@@ -293,10 +287,12 @@
         table.add_column(column, justify="left" if column in ("workload", "note") else "right")
     for each in fitted.workloads:
         low, high = each.mean_bar
-        table.add_row(each.name, str(each.shots), f"{each.mean_ms:.2f} [{low:.2f}, {high:.2f}]", f"{each.cv:.2f}", each.note)
+        mean = f"{each.mean_ms:.2f} [{low:.2f}, {high:.2f}]"
+        table.add_row(each.name, str(each.shots), mean, f"{each.cv:.2f}", each.note)
     out.print(table)
     for each in fitted.builds:
-        out.print(f"build {each.build}: work x {each.pace:.3f} [{each.pace_bar[0]:.3f}, {each.pace_bar[1]:.3f}], errors "
-                  f"{each.errors:.4f} [{each.errors_bar[0]:.4f}, {each.errors_bar[1]:.4f}], {each.shots} shots")
+        (slow, fast), (few, many) = each.pace_bar, each.errors_bar
+        out.print(f"build {each.build}: work x {each.pace:.3f} [{slow:.3f}, {fast:.3f}], errors {each.errors:.4f} "
+                  f"[{few:.4f}, {many:.4f}], {each.shots} shots")
     save(chosen["--json"], fitted)
     return 0
--- a/tealsail/lab/imports.py
+++ b/tealsail/lab/imports.py
@@ -90,6 +90,7 @@
         steps_back += passed < 0
         gap, at, last = max(gap, passed), at + max(0, passed), row.at
         count += 1
-        writer(Take(at, 0, count, at, workloads[row.workload], customers[row.customer], row.key, at + 3 * SECOND, count))
+        writer(Take(at, 0, count, at, workloads[row.workload], customers[row.customer], row.key, at + 3 * SECOND,
+                    count))
     writer.close()
     return Imported(count, at, problems.count, problems[0] if problems else "", steps_back, gap)
--- a/tealsail/lab/loopback/troupe.py
+++ b/tealsail/lab/loopback/troupe.py
@@ -49,7 +49,8 @@
         for line in lines:
             _, told, text = line.partition(b" module: ")
             if told and text.startswith(b"verdict"):
-                self.troupe.theatre.tell(Log(self.troupe.theatre.now(), self.relay, text.decode(errors="replace")[:300]))
+                theatre = self.troupe.theatre
+                theatre.tell(Log(theatre.now(), self.relay, text.decode(errors="replace")[:300]))
             if b" ERROR " in line or b"module: fault" in line:
                 self.troupe.theatre.wrong(f"relay {self.relay}: {line.decode(errors='replace')[:300]}")
 
--- a/tealsail/net/recording.py
+++ b/tealsail/net/recording.py
@@ -36,9 +36,10 @@
 
     def taken(self, number: int, statement: "Statement", at: int) -> None:
         facade = self.relay.facade
+        customer = facade.customers.get(statement.customer, 0)
         at -= self.zero
         self.recorder.note(Take(
-            self.now(), self.own, number, at, facade.workloads[statement.workload], facade.customers.get(statement.customer, 0),
+            self.now(), self.own, number, at, facade.workloads[statement.workload], customer,
             self.recorder.key(statement.key), at + settings.tenths(statement.wait), -1 if statement.repeat else number))
 
     def shot(self, number: int, place: int, unit: int, wait: int) -> None:
--- a/tealsail/world/day.py
+++ b/tealsail/world/day.py
@@ -38,6 +38,14 @@
     span: int
 
 
+class Left(NamedTuple):
+    """What a day left to do for whoever drives it."""
+    lines: list[Any]
+    touched: list[Unit]
+    rounds: list[int]
+    relays: list[tuple[int, str]]
+
+
 class Day:
     """All that is not a relay."""
 
@@ -98,6 +106,12 @@
         self.fleet.kill(now, unit)
         self.settle(now)
 
+    def left(self) -> Left:
+        """Taken up once, all but `moved`: whether the news goes out depends on whether the platform is silent."""
+        left = Left(self.lines, list(self.touched), self.rounds, self.relays)
+        self.lines, self.touched, self.rounds, self.relays = [], {}, [], []
+        return left
+
     def settle(self, now: int) -> None:
         """The platform's orders are carried out, and what the fleet did is listed, until nothing is left to do."""
         fleet, desk = self.fleet, self.desk
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -5,7 +5,7 @@
 from tealsail import policy
 from tealsail.notes import Pool, count_notes, read, verdict_note
 from tealsail.parts import mix, rank_test
-from tests.fake import HARMLESS, ONE_SHOT, SECOND, Story
+from tests.fake import ONE_SHOT, SECOND, Story
 
 BACK, ON = [policy.BACK], [policy.ON]
 
