Fits take each shot's share of the cores: what met company counts too, and the tail is no longer too long

Cause: a shot alone at its start meets company later, the longer the likelier, so fitted work was 1 to 2% heavy and its tail more.

--- a/tealsail/lab/fits.py
+++ b/tealsail/lab/fits.py
@@ -1,8 +1,8 @@
 """Fits the model's parameters from a record, each with bootstrap draws of it, so that bars hold what is not known.
 
 Work by workload: the quantiles of what was seen where there is enough of it, else a lognormal by maximum likelihood.
-Where a record has the unit's own lines (ran, done) the time between them counts, of shots that found less than a core's
-worth of company at their start; where it has a relay's alone, that of shots that found their unit without any other.
+Where a record has the units' own lines (ran, done), each shot's share of the cores is summed up over its time: its work,
+whatever company it had; where it has a relay's alone, the time of shots that found their unit without any other counts.
 Cold units are left out.  A build's pace is the ratio of its mean to that of the build before, workload by workload.
 The overhead is what the relay and the sockets add: from a client's intended send to the unit, and from the unit to it.
 """
@@ -69,10 +69,12 @@
         self.workload: dict[tuple[int, int], tuple[int, int]] = {}       # relay, number -> workload, taken at
         self.out: dict[tuple[int, int, int], tuple[str, int, int, bool]] = {}    # shot -> unit, build, sent, alone
         self.at_unit: dict[str, int] = {}
+        self.own_time: dict[str, list[float]] = {}               # unit -> its own time, and up to when that has gone on
+        self.begun_own: dict[tuple[int, int, int], float] = {}   # shot -> its unit's own time at its start
         self.warm_from: dict[str, int] = {}
         self.builds: dict[str, int] = {}
         self.own = False                         # the record has the units' own lines
-        self.warm_up, self.cores = 0, 1.0
+        self.warm_up, self.cores, self.slots = 0, 1.0, 1
         self.there: deque[int] = deque(maxlen=OVERHEADS)
         self.back: deque[int] = deque(maxlen=OVERHEADS)
         self.given: dict[tuple[int, int], int] = {}
@@ -83,6 +85,7 @@
                 self.head = line
                 self.warm_up = int(line.facts.get("warm_up", 0))
                 self.cores = float(line.day.get("unit", {}).get("cores", 1.0))
+                self.slots = int(line.day.get("unit", {}).get("slots", 1))
             case Unit(at, unit, build, _, "runs"):
                 self.warm_from[unit], self.builds[unit] = (at + self.warm_up if at else 0), build
                 self.at_unit[unit] = 0
@@ -93,7 +96,7 @@
             case Shot(at, relay, number, place, unit, build) if not self.own:
                 self.began((relay, number, place), at, unit, build)
             case Ran(at, relay, number, place, unit):
-                if not self.own:                 # what relays sent before does not count in their own lines
+                if not self.own:                 # what relays sent before does not count in the units' own lines
                     self.own, self.out, self.at_unit = True, {}, {}
                 self.began((relay, number, place), at, unit, self.builds.get(unit, 0))
                 taken = self.workload.get((relay, number))
@@ -113,15 +116,26 @@
 
     def began(self, shot: tuple[int, int, int], at: int, unit: str, build: int) -> None:
         beside = self.at_unit.get(unit, 0)
+        if self.own:
+            self.begun_own[shot] = self.advance(unit, at)
         self.at_unit[unit] = beside + 1
-        alone = beside + 1 <= max(1.0, self.cores / 2 if self.own else 1.0) and at >= self.warm_from.get(unit, 0)
-        self.out[shot] = unit, build, at, alone
+        fit = (beside < self.slots if self.own else not beside) and at >= self.warm_from.get(unit, 0)
+        self.out[shot] = unit, build, at, fit
+
+    def advance(self, unit: str, at: int) -> float:
+        """A unit's own time, in which all that it works on progresses alike."""
+        known = self.own_time.setdefault(unit, [0.0, at])
+        many = self.at_unit.get(unit, 0)
+        known[0] += (at - known[1]) * (min(1.0, self.cores / many) if many else 1.0)
+        known[1] = at
+        return known[0]
 
     def ended(self, shot: tuple[int, int, int], at: int, outcome: str) -> None:
         begun = self.out.pop(shot, None)
         if begun is None:
             return
         unit, build, sent, alone = begun
+        taken_so_far = self.advance(unit, at) - self.begun_own.pop(shot) if shot in self.begun_own else at - sent
         self.at_unit[unit] = max(0, self.at_unit.get(unit, 1) - 1)
         if outcome in ("served", "wrong", "error"):
             counts = self.answers.setdefault(build, [0, 0])
@@ -131,7 +145,7 @@
         if outcome in ("served", "wrong") and alone and taken:
             kept = self.times.setdefault((taken[0], build), [])
             if len(kept) < MOST:
-                kept.append(max(1, at - sent))
+                kept.append(max(1, round(taken_so_far)))
 
 
 def quantiles(values: numpy.ndarray, likely: bool) -> list[float]:
