Looks at a zone out of reach keep the limit on spill; unused names are gone

Cause: a look skipped the check that every other far shot passes, so a cut-off relay could send a little beyond the stated limit; rows refused were counted as invocations rejected, twice for each. Change: the check, the counter's name (zones.refused), and names that nothing used removed.

--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -51,7 +51,7 @@
         self.out = 0                             # zones that are out of reach, for all that is known
         self.taken = Ring(zoning.span, BUCKETS)
         self.spilled = [Ring(zoning.span, BUCKETS) for _ in self.order]
-        self.counts = {"kept": 0, "spilled": 0, "rejected": 0, "probes": 0, "matched": 0}
+        self.counts = {"kept": 0, "spilled": 0, "refused": 0, "probes": 0, "matched": 0}
         relay.tier = self.tier
 
     def tier(self, unit: Unit) -> int:
@@ -125,7 +125,7 @@
                 if self.next.forward(invocation, zone.rows[side]):
                     self.sent(tier)
                     return True
-        self.counts["rejected"] += 1
+        self.counts["refused"] += 1              # one row; the other build's may still take it
         return False
 
     def looked(self, invocation: Invocation, side: int) -> bool:
@@ -133,7 +133,8 @@
         now = self.relay.now
         for zone in self.zones.values():
             if zone.unreached and zone.back.state == OUT and now >= zone.probe_at and zone.rows[side] \
-                    and invocation.workload.effect == "harmless":
+                    and invocation.workload.effect == "harmless" \
+                    and (zone.tier <= self.nearest or self.may_spill(zone.tier)):    # the stated limit holds for looks
                 zone.probe_at = now + int(PROBE * (0.75 + 0.5 * self.chance.share()))
                 if self.next.forward(invocation, zone.rows[side]):
                     self.counts["probes"] += 1
--- a/tealsail/lab/runs.py
+++ b/tealsail/lab/runs.py
@@ -94,10 +94,6 @@
             yield waiting[future], future.result()
 
 
-def replicas(scenario: Scenario, many: int) -> list[Scenario]:
-    return [scenario] * many
-
-
 def compared(first: Option, second: Option) -> dict[str, Difference]:
     """B over A on the same days."""
     return differences([each.figures for each in first.results], [each.figures for each in second.results])
--- a/tealsail/lab/scenario.py
+++ b/tealsail/lab/scenario.py
@@ -17,7 +17,7 @@
 from ..world.clients import STREAM, Habits, Workload
 from ..world.day import Parts
 from ..world.desk import Plan
-from ..world.draws import Table, empirical, lognormal
+from ..world.draws import Table, lognormal
 from ..world.faults import Fault
 from ..world.fleet import Layout
 from ..world.network import Paths
@@ -391,9 +391,3 @@
             wrong("script", f"{fault.text!r}: no zone {fault.zone}")
         if fault.kind in ("relay", "restart", "cut") and fault.who.isdigit() and int(fault.who) >= scenario.fleet.relays:
             wrong("script", f"{fault.text!r}: there are relays 0 to {scenario.fleet.relays - 1}")
-
-
-def from_seen(milliseconds: list[float]) -> Work:
-    """Work as it was seen, as quantiles."""
-    table = empirical([max(1, round(each * TENTHS)) for each in milliseconds])
-    return Work(quantiles_ms=[each / TENTHS for each in table.quantiles])
--- a/tealsail/world/builds.py
+++ b/tealsail/world/builds.py
@@ -20,6 +20,3 @@
             return False
         first, last = self.turns
         return last == 0 or age >= first + int(share(seed, TURNS, unit, self.number) * (last - first))
-
-
-GOOD = Build(0)
--- a/tealsail/world/faults.py
+++ b/tealsail/world/faults.py
@@ -1,8 +1,6 @@
 """What goes wrong in a day, as typed values; the language they are written in is read in tealsail/lab/script.py."""
 from typing import NamedTuple
 
-UNIT_FAULTS = ("kill", "hang", "silence", "slow", "fail", "drain")
-KINDS = (*UNIT_FAULTS, "surge", "list", "platform silent", "platform busy", "notes", "relay", "restart", "cut", "zone")
 
 
 class Fault(NamedTuple):
--- a/tealsail/world/roster.py
+++ b/tealsail/world/roster.py
@@ -42,9 +42,6 @@
         self.stale_until = max(self.stale_until, now + span)
         return self.stale_until
 
-    def open_at(self, now: int) -> bool:
-        return now >= self.stale_until
-
     def news(self, relay: int, version: int) -> tuple[int, list[Entry]]:
         """What that relay's agent is told up to `version` beyond what it has, the last word on each unit; and the
         version that it has then."""
