--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -281,8 +281,8 @@
 
 
 def record_fit(chosen: dict[str, Any], out: Console) -> int:
-    fitted = fits.fit(chosen["FILE"], number(chosen, "--draws", 2, 1000))
-    table = Table(title=f"fitted from {chosen['FILE']}")
+    fitted = fits.fit(chosen["RECORD"], number(chosen, "--draws", 2, 1000))
+    table = Table(title=f"fitted from {fitted.source}")
     for column in ("workload", "shots", "mean ms [95%]", "cv", "note"):
         table.add_column(column, justify="left" if column in ("workload", "note") else "right")
     for each in fitted.workloads:
--- a/tealsail/command/main.py
+++ b/tealsail/command/main.py
@@ -21,7 +21,7 @@
   tealsail trial SCENARIO [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE] [--logs=DIR]
   tealsail record show FILE [--json=FILE]
   tealsail record import CSV FILE [--start=MS]
-  tealsail record fit FILE [--draws=N] [--json=FILE]
+  tealsail record fit RECORD... [--draws=N] [--json=FILE]
   tealsail (-h | --help)
 
 The relay:
@@ -39,16 +39,16 @@
   trial          Play a scenario for real: relay processes on loopback addresses.
   record show    Figures and broken rules of a record.
   record import  A record of arrivals from CSV (columns: at_ms,workload,customer,key).
-  record fit     What units are like, from a record, with the uncertainty of it.
+  record fit     What units are like, from records of one or more days, with the uncertainty of it.
 
 Options:
   --log-level=LEVEL  debug, info, warning or error [default: info].
   --document=FILE    The operator's document, if there is one [default: deploy/tealsail.toml].
-  --replicas=N       Days of different seeds [default: 10].
+  --replicas=N       Days of different seeds; from 39 on bars ask for no shape of spread [default: 10].
   --repeats=N        Real days of each option [default: 1].
   --at-once=N        Real days side by side: each needs a core or more [default: 1].
   --jobs=N           Processes; 0: one a core [default: 0].
-  --draws=N          Bootstrap draws of a fit [default: 20].
+  --draws=N          Bootstrap draws of a fit [default: 40].
   --seed=N           One day of that seed instead of the scenario's.
   --start=MS         Unix time of the record's zero in milliseconds, if not the first line's.
   --record=FILE      Write the record there (.gz: packed).
--- a/tealsail/lab/bars.py
+++ b/tealsail/lab/bars.py
@@ -1,8 +1,12 @@
 """Error bars: what one more day would show, how well a mean is known, and which of two options is better.
 
-A bar of a figure is a prediction interval for one day: mean and t quantile times s * sqrt(1 + 1 / n), over days of
-different seeds and, where parameters were fitted, of different bootstrap draws of them, so it holds both.  A paired
-difference is taken day by day on the same random numbers; its bar is a confidence interval of its mean.  Source: the
+A bar of a figure is a prediction interval for one day, over days of different seeds and, where parameters were fitted,
+of different bootstrap draws of them, so it holds both.  From 39 days on it goes from the r-th smallest to the r-th
+largest of n, r = (n + 1) * (1 - level) / 2 rounded down: one more day lies outside with probability 2 r / (n + 1)
+whatever the distribution, so days of two kinds (a build sent back early or late) are no trouble.  Fewer days can't say
+that much without a shape: then mean and t quantile times s * sqrt(1 + 1 / n), for a normal sample.  A paired
+difference is taken day by day on the same random numbers; its bar is a confidence interval of its mean.  Sources: S. S.
+Wilks, "Determination of sample sizes for setting tolerance limits" (Ann. Math. Stat. 12, 1941) for ordered values; the
 usual formulas for a normal sample of unknown variance; Student's quantile by Hill's expansion (Algorithm 396, 1970).
 """
 from math import sqrt
@@ -65,8 +69,13 @@
     mean = sum(values) / many
     spread = sqrt(sum((each - mean) ** 2 for each in values) / (many - 1))
     times = student(level, many - 1)
-    reach = times * spread * sqrt(1 + 1 / many)
-    low, high = max(0.0, mean - reach), mean + reach
+    rank = int((many + 1) * (1 - level) / 2 + 1e-9)
+    if rank:
+        ordered = sorted(values)
+        low, high = ordered[rank - 1], ordered[-rank]
+    else:
+        reach = times * spread * sqrt(1 + 1 / many)
+        low, high = max(0.0, mean - reach), mean + reach
     return Bar(mean, low, min(1.0, high) if bounded(name) else high, times * spread / sqrt(many), spread, many)
 
 
--- a/tealsail/lab/fits.py
+++ b/tealsail/lab/fits.py
@@ -1,4 +1,7 @@
-"""Fits the model's parameters from a record, each with bootstrap draws of it, so that bars hold what is not known.
+"""Fits the model's parameters from records, each with bootstrap draws of it, so that bars hold what is not known.
+
+A draw takes one of the records and then draws from its shots again (a bootstrap in two steps): with records of several
+days it holds what differs between days of one machine, which the shots of a single day can't tell.
 
 Work by workload: the quantiles of what was seen where there is enough of it, else a lognormal by maximum likelihood.
 Where a record has the units' own lines (ran, done), each shot's share of the cores is summed up over its time: its work,
@@ -50,13 +53,15 @@
 
 
 class Fit(msgspec.Struct):
-    """`there_ms` and `back_ms`: what the relay and the sockets add, on the way to a unit and back (0: not known)."""
+    """`there_ms` and `back_ms`: what the relay and the sockets add, on the way to a unit and back (0: not known);
+    `overheads` the same by draw."""
     source: str
     version: int
     workloads: list[WorkloadFit]
     builds: list[BuildFit]
     there_ms: float = 0.0
     back_ms: float = 0.0
+    overheads: list[tuple[float, float]] = []
 
 
 class Seen:
@@ -166,56 +171,101 @@
     return float(numpy.quantile(values, 0.025)), float(numpy.quantile(values, 0.975))
 
 
-def fit(path: Path | str, draws: int = 20, seed: int = 1) -> Fit:
+def seen_in(path: Path | str) -> Seen:
     """Raises Unreadable for no record, ValueError for one in which nothing was served."""
     seen = Seen()
     for line in read(path):
         seen(line)
     if not seen.times:
         raise ValueError(f"{path}: no shot was served alone at a warm unit: nothing to fit")
+    return seen
+
+
+def values_of(days: list[Seen], workload: int, build: int) -> list[numpy.ndarray]:
+    """By day; those that saw any."""
+    found = [numpy.array(seen.times[workload, build], dtype=float) for seen in days if seen.times.get((workload, build))]
+    return found
+
+
+def fit(paths: Path | str | list[Path | str], draws: int = 20, seed: int = 1) -> Fit:
+    """From a record or several of the same fleet.  Raises as `seen_in`, and ValueError where they don't belong together."""
+    paths = paths if isinstance(paths, list) else [paths]
+    days = [seen_in(path) for path in paths]
     chance = numpy.random.default_rng(seed)
-    base = min(build for _, build in seen.times)
-    names = [each.get("name", str(place)) for place, each in enumerate(seen.head.facts.get("workloads", []))]
+    names = [each.get("name", str(place)) for place, each in enumerate(days[0].head.facts.get("workloads", []))]
+    for path, seen in zip(paths, days):
+        if [each.get("name", str(place)) for place, each in enumerate(seen.head.facts.get("workloads", []))] != names:
+            raise ValueError(f"{path}: other workloads than in {paths[0]}")
+    base = min(build for seen in days for _, build in seen.times)
+    chosen = [days[place] for place in chance.integers(0, len(days), draws)]     # of each draw its day
     workloads = []
     for place, name in enumerate(names):
-        values = numpy.array(seen.times.get((place, base), []), dtype=float)
-        if not len(values):
+        by_day = values_of(days, place, base)
+        if not by_day:
             continue
+        values = numpy.concatenate(by_day)
         likely = len(values) < ENOUGH
-        again = [values[chance.integers(0, len(values), len(values))] for _ in range(draws)]
+        again = [resampled(values_of([seen], place, base) or by_day, chance) for seen in chosen]
         note = f"few shots: wide; a lognormal by maximum likelihood" if likely and len(values) < FEW else \
             "a lognormal by maximum likelihood" if likely else "as seen"
         workloads.append(WorkloadFit(
             name, len(values), round(float(values.mean()) / 10, 4),
             interval([float(each.mean()) / 10 for each in again]), float(values.std() / values.mean()), note,
             quantiles(values, likely), [quantiles(each, likely) for each in again]))
-    builds = [build_fit(seen, build, base, draws, chance) for build in sorted(seen.answers) if build != base]
-    return Fit(Path(path).name, 1, workloads, [each for each in builds if each],
-               float(numpy.median(seen.there)) / 10 if seen.there else 0.0,
-               float(numpy.median(seen.back)) / 10 if seen.back else 0.0)
+    numbers = sorted({build for seen in days for build in seen.answers} - {base})
+    builds = [build_fit(days, chosen, build, base, chance) for build in numbers]
+    source = ", ".join(Path(path).name for path in paths)
+    return Fit(source, 2, workloads, [each for each in builds if each],
+               float(numpy.median([each for seen in days for each in seen.there] or [0])) / 10,
+               float(numpy.median([each for seen in days for each in seen.back] or [0])) / 10,
+               [overhead(seen) for seen in chosen] if all(seen.there and seen.back for seen in days) else [])
+
 
+def overhead(seen: Seen) -> tuple[float, float]:
+    """Medians of one day, in ms."""
+    return float(numpy.median(seen.there)) / 10, float(numpy.median(seen.back)) / 10
 
-def build_fit(seen: Seen, build: int, base: int, draws: int, chance: numpy.random.Generator) -> BuildFit | None:
-    """Pace over the workloads that both builds served, weighted by the root of the shots there are."""
-    pairs = [(numpy.array(values, dtype=float), numpy.array(seen.times[place, base], dtype=float))
-             for (place, each), values in seen.times.items() if each == build and seen.times.get((place, base))]
-    if not pairs:
+
+def resampled(by_day: list[numpy.ndarray], chance: numpy.random.Generator) -> numpy.ndarray:
+    values = numpy.concatenate(by_day)
+    return values[chance.integers(0, len(values), len(values))]
+
+
+def build_fit(days: list[Seen], chosen: list[Seen], build: int, base: int,
+              chance: numpy.random.Generator) -> BuildFit | None:
+    """Pace over the workloads that both builds served on one day, weighted by the root of the shots there are."""
+    whole = paired(days, build, base)
+    if not whole:
         return None
 
-    def pace(resampled: bool) -> float:
+    def pace(pairs: list[tuple[numpy.ndarray, numpy.ndarray]], again: bool) -> float:
         ratio = weight = 0.0
         for new, old in pairs:
-            if resampled:
-                new, old = (each[chance.integers(0, len(each), len(each))] for each in (new, old))
+            if again:
+                new, old = (resampled([each], chance) for each in (new, old))
             heavy = sqrt(len(new))
             ratio, weight = ratio + heavy * log(new.mean() / old.mean()), weight + heavy
         return exp(ratio / weight)
 
-    answers, bad = seen.answers[build]
-    paces = [round(pace(True), 4) for _ in range(draws)]
-    shares = [round(float(each), 6) for each in chance.beta(bad + 0.5, answers - bad + 0.5, draws)]
-    return BuildFit(build, sum(len(new) for new, _ in pairs), round(pace(False), 4), interval(paces), paces,
-                    round(bad / answers, 6), interval(shares), shares)
+    def answers(which: list[Seen]) -> tuple[int, int]:
+        rows = [seen.answers.get(build, [0, 0]) for seen in which]
+        return sum(row[0] for row in rows), sum(row[1] for row in rows)
+
+    many, bad = answers(days)
+    paces = [round(pace(paired([seen], build, base) or whole, True), 4) for seen in chosen]
+    shares = []
+    for seen in chosen:
+        of_day, bad_of_day = answers([seen]) if answers([seen])[0] else (many, bad)
+        shares.append(round(float(chance.beta(bad_of_day + 0.5, of_day - bad_of_day + 0.5)), 6))
+    return BuildFit(build, sum(len(new) for new, _ in whole), round(pace(whole, False), 4), interval(paces), paces,
+                    round(bad / many, 6), interval(shares), shares)
+
+
+def paired(days: list[Seen], build: int, base: int) -> list[tuple[numpy.ndarray, numpy.ndarray]]:
+    """What a build and the base took of each workload that both served on one day."""
+    return [(numpy.array(values, dtype=float), numpy.array(seen.times[place, base], dtype=float))
+            for seen in days for (place, each), values in seen.times.items()
+            if each == build and seen.times.get((place, base))]
 
 
 def drawn(scenario: Scenario, many: int) -> list[Scenario]:
@@ -251,6 +301,8 @@
             build |= {"pace": each.paces[draw % len(each.paces)], "errors": each.shares[draw % len(each.shares)]}
     clients = {}
     if fitted.there_ms:
-        clients = {"clients": {"there_ms": fitted.there_ms, "back_ms": fitted.back_ms},
+        overheads = fitted.overheads or [(fitted.there_ms, fitted.back_ms)]
+        there, back = overheads[draw % len(overheads)]
+        clients = {"clients": {"there_ms": there, "back_ms": back},
                    "network": {"near_ms": 0.0, "far_ms": 0.0, "handshake_ms": 0.0}}
     return convert(over(tree, clients) | {"fit": ""}, scenario.name)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import math
+import random
 import tempfile
 import unittest
 from pathlib import Path
@@ -303,6 +304,23 @@
         self.assertEqual((found["service"].high, found["back_s.2"].many), (1.0, 2))
 
 
+    def test_days_of_two_kinds_lie_in_bars_that_ask_for_no_shape(self) -> None:
+        """A build goes back after 8 s or after 40: a normal bar of few days reaches below zero, that of 39 does not, and
+        one more day lies outside about one time in twenty."""
+        chance = random.Random(1)
+
+        def back() -> float:
+            return chance.gauss(8, 1) if chance.random() < 0.7 else chance.gauss(40, 3)
+        held, wide = 0, []
+        for _ in range(400):
+            known = bars.bar("back_s.2", [back() for _ in range(39)])
+            held += known.holds(back())
+            wide.append(known.low)
+        self.assertTrue(0.92 < held / 400 < 0.98, held)
+        self.assertGreater(min(wide), 4)
+        self.assertEqual(bars.bar("back_s.2", [back() for _ in range(20)]).low, 0)
+
+
 class Fits(unittest.TestCase):
     def record(self, folder: str, seconds: float, **more: Any) -> Path:
         path = Path(folder) / f"{seconds}.record.gz"
@@ -321,6 +339,19 @@
             self.assertTrue(build.pace_bar[0] < 1.3 < build.pace_bar[1], build.pace_bar)
             self.assertAlmostEqual(build.errors, 0.004, delta=0.004)
 
+    def test_what_differs_between_days_is_in_the_bars_of_a_fit_from_several(self) -> None:
+        """Two days on which the same work took a tenth more or less: either alone is sure of itself, and one is wrong."""
+        with tempfile.TemporaryDirectory() as folder:
+            days = [self.record(folder, seconds, builds={"offered_s": 90}, workload=[
+                {"name": "fetch", "effect": "harmless", "work": {"mean_ms": mean, "cv": 0.3}}])
+                for seconds, mean in ((20, 20.0), (21, 22.0))]
+            alone, both = fits.fit(days[0]).workloads[0], fits.fit(days).workloads[0]
+            self.assertLess(alone.mean_bar[1], 21.3)
+            self.assertTrue(both.mean_bar[0] < 20.3 and both.mean_bar[1] > 21.5, both.mean_bar)
+            self.assertEqual(both.shots > 1.5 * alone.shots, True)
+            with self.assertRaisesRegex(ValueError, "other workloads than"):
+                fits.fit([days[0], self.record(folder, 3, workload=[{"name": "other"}])])
+
     def test_too_few_shots_give_wide_bars_and_say_so(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             few, many = (fits.fit(self.record(folder, seconds, builds={"offered_s": 90})).workloads[1] for seconds in (2, 60))
