Relays tell each other of zones: first-hand words, doubt by several, evidence for ramps

Need: a relay saw zones by its own shots and the list alone; one with little traffic came back late, and each found a listed dead zone out anew. Change: choices/hearsay.py, 3 + 4 bytes a zone, sent to three drawn relays each beat only while a zone is in trouble; what one relay or the relays of one zone say talks nobody out of a zone that others reach; one's own answers go before all words; answers of others count half in a way back; looks at a zone that is out grow seldom (0.5 to 4 s) until somebody reaches it.

--- a/tealsail/choices/returning.py
+++ b/tealsail/choices/returning.py
@@ -15,7 +15,7 @@
         self.zoning, self.luck = zoning, luck
         self.state, self.level = UP, 1.0
         self.flaps, self.since = 0, -1 << 60     # how often it was lost of late; when the state began
-        self.good = self.bad = 0
+        self.good = self.bad = 0.0               # answers in time and late, since the last step
         self.stepped = 0
 
     def lost(self, now: int) -> None:
@@ -34,6 +34,10 @@
     def saw(self, in_time: bool) -> None:
         self.good, self.bad = self.good + in_time, self.bad + (not in_time)
 
+    def told(self, good: int, bad: int) -> None:
+        """What others saw: half of what one's own answers are worth."""
+        self.good, self.bad = self.good + good / 2, self.bad + bad / 2
+
     def wait(self) -> int:
         """Before the way back begins: twice as long for each flap, with a bound, spread by luck."""
         zoning = self.zoning
--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -1,10 +1,12 @@
 """The stage between the choice of build and the choice of unit: which zone, by tiers, spill and ways back.
 
 It keeps the rows of both builds by zone and hands the row of one zone on.  The limits on spill are kept here, at each
-send: a share of what this relay takes, and a rate over the next tier's own use.
+send: a share of what this relay takes, and a rate over the next tier's own use.  What other relays tell of zones
+(hearsay.py) counts where this relay has seen nothing itself: never against its own answers.
 """
 from ..parts import Chance, Invocation, Ring, Shot, Stage, Unit, mix
-from .returning import OUT, RAMP, Returning
+from .hearsay import LISTENERS, Hearsay, Seen, Word, decode, encode
+from .returning import OUT, RAMP, UP, Returning
 from .spill import Give, View, split
 from .tiers import Zoning, tiers
 
@@ -13,7 +15,7 @@
 GONE = 0.5                                       # under so much of what is usual, against the best zone: lost
 UNANSWERED = 5                                   # misses in a row, with no answer between: out of reach
 FEW = 5                                          # answers and misses that a share of them needs
-PROBE = 5_000                                    # tenths of a ms between looks at a zone that is out
+PROBE, SELDOM = 5_000, 3                         # tenths of a ms between looks at a zone that is out; doubled so often
 LATE = 0.8                                       # of the promise
 FAR = 0.05                                       # of what is taken may go far for the trial's sake, with nothing short
 BUCKETS = 20
@@ -29,8 +31,10 @@
         self.able = 0.0
         self.back = Returning(zoning, luck)
         self.answered, self.missed = Ring(zoning.span, BUCKETS), Ring(zoning.span, BUCKETS)
-        self.probe_at = self.row_of_misses = 0
+        self.late = Ring(zoning.span, BUCKETS)   # of those answered
+        self.probe_at = self.looks = self.row_of_misses = 0
         self.unreached = False                   # out by its silence, not by the list
+        self.doubted = False                     # out by the words of others, with no answer of its own against them
 
 
 class Zones(Stage):
@@ -51,8 +55,10 @@
         self.out = 0                             # zones that are out of reach, for all that is known
         self.taken = Ring(zoning.span, BUCKETS)
         self.spilled = [Ring(zoning.span, BUCKETS) for _ in self.order]
-        self.counts = {"kept": 0, "spilled": 0, "refused": 0, "probes": 0, "matched": 0}
+        self.counts = {"kept": 0, "spilled": 0, "refused": 0, "probes": 0, "matched": 0, "doubted": 0, "told": 0}
         relay.tier = self.tier
+        self.hearsay, self.own = Hearsay(2 * zoning.span), own
+        self.hear_on, relay.on_told = relay.on_told, self.hear
 
     def tier(self, unit: Unit) -> int:
         """How far a unit is, 0 for the nearest tier there is."""
@@ -84,13 +90,49 @@
             zone.back.beat(now)
         for give in self.gives:
             give.beat(self.zoning.late_part)
+        self.hearsay.forget(now)
+        for seen in self.hearsay.evidence():     # a relay with little to do learns from those with more
+            zone = self.zones.get(seen.zone)
+            if zone and zone.back.state == RAMP:
+                zone.back.told(seen.good, seen.late)
+            if zone and seen.good and zone.looks:            # others reach it: look again soon
+                zone.looks, zone.probe_at = 0, min(zone.probe_at, now + PROBE)
         self.weigh()
+        self.tell()
+
+    def hear(self, sender: int, data: bytes) -> None:
+        """A note; what is no word on zones is the judges'."""
+        word = decode(data)
+        if word is None:
+            return self.hear_on(sender, data)
+        self.hearsay.add(sender, word, self.relay.now)
+
+    def tell(self) -> None:
+        """What was seen of late, while there is trouble, to a few relays drawn anew each time."""
+        relay, now, facts = self.relay, self.relay.now, self.relay.facts
+        trouble = any(zone.unreached or zone.back.state != UP for zone in self.zones.values())
+        if not facts["may_tell"] or not (trouble or self.hearsay.alert(now)):
+            return
+        rows = []
+        for zone in self.zones.values():
+            answered, late, missed = (int(ring.total(now)) for ring in (zone.answered, zone.late, zone.missed))
+            if zone.unreached:                   # looks are seldom, answers were before: what made it so stands
+                answered, late, missed = 0, 0, max(missed, UNANSWERED)
+            if answered + missed:
+                rows.append(Seen(zone.place, max(0, answered - late), late, missed))
+        if not rows and not trouble:
+            return
+        data, others = encode(Word(self.own, trouble, tuple(rows))), facts["relays"] - 1
+        for _ in range(min(LISTENERS, others)):
+            to = int(self.chance.share() * others)
+            self.counts["told"] += 1
+            relay.host.tell(to + (to >= relay.index), data)
 
     def weigh(self) -> None:
         """What each zone can do, who is lost and who is back, and the tiers' shares from that."""
         now, zones = self.relay.now, list(self.zones.values())
         part = {zone.place: zone.listed / zone.usual if zone.usual else 0.0 for zone in zones}
-        best = max(part.values())
+        best, doubts = max(part.values()), self.hearsay.doubts()
         for zone in zones:
             answered, missed = zone.answered.total(now), zone.missed.total(now)
             gone = part[zone.place] < GONE * best
@@ -100,8 +142,11 @@
             elif not gone and not zone.unreached:
                 zone.back.there(now)
             seen = answered / (answered + missed) if answered + missed >= FEW else 1.0
-            zone.able = zone.listed * seen * zone.back.level
-        self.out = sum(zone.unreached for zone in zones)
+            doubted = zone.place in doubts and not answered      # one's own answers go before all words
+            self.counts["doubted"] += doubted and not zone.doubted
+            zone.doubted = doubted
+            zone.able = zone.listed * seen * zone.back.level * (not doubted)
+        self.out = sum(zone.unreached or zone.doubted for zone in zones)
         self.nearest = min([zone.tier for zone in zones if zone.usual], default=0)
         self.keep, self.room = split(self.order, {zone.place: View(zone.usual, zone.able) for zone in zones},
                                      [each.level for each in self.gives], self.zoning)
@@ -132,10 +177,11 @@
         """Now and then one that may run again goes to a zone that was out of reach, to see whether it still is."""
         now = self.relay.now
         for zone in self.zones.values():
-            if zone.unreached and zone.back.state == OUT and now >= zone.probe_at and zone.rows[side] \
+            if (zone.doubted or zone.unreached and zone.back.state == OUT) and now >= zone.probe_at and zone.rows[side] \
                     and invocation.workload.effect == "harmless" \
                     and (zone.tier <= self.nearest or self.may_spill(zone.tier)):    # the stated limit holds for looks
-                zone.probe_at = now + int(PROBE * (0.75 + 0.5 * self.chance.share()))
+                zone.probe_at = now + int((PROBE << min(zone.looks, SELDOM)) * (0.75 + 0.5 * self.chance.share()))
+                zone.looks += 1
                 if self.next.forward(invocation, zone.rows[side]):
                     self.counts["probes"] += 1
                     self.sent(zone.tier)
@@ -207,12 +253,17 @@
         if zone:
             if outcome in ANSWERED:
                 zone.answered.add(now)
-                zone.row_of_misses = 0
+                zone.row_of_misses = zone.looks = 0
+                if zone.doubted:
+                    zone.doubted = False
+                    self.weigh()
             elif outcome in MISSED:
                 zone.missed.add(now)
                 self.missed(zone)
             late = outcome not in ("served", "full", "moot") or \
                 latency > LATE * shot.invocation.workload.promised * max(1.0, shot.invocation.size)
+            if late and outcome in ANSWERED:
+                zone.late.add(now)
             if outcome != "cancelled":
                 self.learn(zone, outcome, late)
             if unit.rest_until > now:            # it goes to the end of its row, as in the rows of all zones
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -3,9 +3,11 @@
 
 from hypothesis import given, strategies as st
 
+from tealsail.choices.hearsay import (ALERT, EACH, MOST_WORDS, Hearsay, Seen, Word, decode, encode)
 from tealsail.choices.returning import OUT, RAMP, UP, WAITING, Returning
 from tealsail.choices.spill import Give, View, split
 from tealsail.choices.tiers import Tier, Zoning, tiers
+from tealsail.notes import read as read_note
 
 SECOND = 10_000
 RULES = Zoning({})
@@ -182,6 +184,81 @@
     def test_relays_do_not_come_back_at_one_moment(self) -> None:
         self.assertEqual([self.back(luck=luck)[0].wait() for luck in (0.0, 0.5, 1.0)], [7_500, 10_000, 12_500])
 
+    def test_what_others_saw_is_evidence_for_a_relay_with_little_to_do(self) -> None:
+        zone, now = self.back()
+        for beat in range(1, 30):
+            zone.told(EACH, 0)
+            zone.beat(now + beat * SECOND // 2)
+        self.assertEqual(zone.state, UP)
+
+
+FIGURE = st.integers(0, 255)
+SEEN = st.builds(Seen, FIGURE, FIGURE, FIGURE, FIGURE)
+
+
+class Words(unittest.TestCase):
+    """Zone 1 is spoken of; relays of zones 0, 1 and 2 speak."""
+    REACHED, OUT_OF_REACH = Seen(1, 20, 0, 0), Seen(1, 0, 0, 20)
+
+    def heard(self, *said: tuple[int, Seen]) -> Hearsay:
+        found = Hearsay(40_000)
+        for sender, (own, seen) in enumerate(said):
+            found.add(sender, Word(own, True, (seen,)), 0)
+        return found
+
+    @given(FIGURE, st.booleans(), st.lists(SEEN, max_size=80, unique_by=lambda seen: seen.zone))
+    def test_a_word_is_read_as_it_was_written_and_is_no_note_of_the_judges(self, own, trouble, rows) -> None:
+        data = encode(Word(own, trouble, tuple(rows)))
+        self.assertLessEqual(len(data), 255)
+        self.assertEqual(read_note(data), ())
+        again = decode(data)
+        self.assertEqual((again.own, again.trouble, len(again.zones)), (own, trouble, min(63, len(rows))))
+        self.assertLessEqual(set(again.zones), set(rows))
+
+    @given(st.binary(max_size=300))
+    def test_what_is_no_word_is_passed_over(self, data) -> None:
+        word = decode(data)
+        if word is not None:
+            self.assertEqual(encode(word)[:2], data[:2])
+
+    def test_figures_beyond_a_byte_and_zones_beyond_are_cut(self) -> None:
+        self.assertEqual(decode(encode(Word(0, False, (Seen(1, 900, 0, 300), Seen(300, 1, 1, 1))))).zones,
+                         (Seen(1, 255, 0, 255),))
+
+    def test_one_relay_or_the_relays_of_one_zone_talk_nobody_out_of_a_zone(self) -> None:
+        self.assertEqual(self.heard((0, self.OUT_OF_REACH), (0, self.OUT_OF_REACH)).doubts(), set())
+        cut = [(0, self.OUT_OF_REACH)] * 20
+        self.assertEqual(self.heard(*cut, (1, self.REACHED)).doubts(), set())
+        self.assertEqual(self.heard(*cut, (2, self.OUT_OF_REACH), (1, self.REACHED)).doubts(), {1})
+
+    def test_several_relays_cast_doubt_that_ends_with_their_words(self) -> None:
+        found = self.heard(*[(0, self.OUT_OF_REACH)] * 2, (2, self.OUT_OF_REACH))
+        self.assertEqual(found.doubts(), {1})
+        found.forget(40_000)
+        self.assertEqual(found.doubts(), set())
+
+    def test_a_word_on_too_little_says_nothing(self) -> None:
+        self.assertEqual(self.heard(*[(0, Seen(1, 0, 0, 2))] * 9).doubts(), set())
+
+    def test_answers_count_once_a_span_and_no_relay_counts_for_many(self) -> None:
+        found = self.heard((0, Seen(1, 200, 50, 0)), (2, self.OUT_OF_REACH))
+        self.assertEqual(found.evidence(), [Seen(1, 8, 2, 0)])
+        found.add(0, Word(0, True, (self.REACHED,)), 5_000)
+        self.assertEqual(found.evidence(), [])   # the same answers, told again
+        found.add(0, Word(0, True, (self.REACHED,)), 20_000)
+        self.assertEqual(found.evidence(), [Seen(1, EACH, 0, 0)])
+
+    def test_the_table_of_words_is_bounded_and_the_oldest_goes(self) -> None:
+        found = self.heard(*[(0, self.REACHED)] * 1000)
+        self.assertEqual((len(found.words), len(found.counted)), (MOST_WORDS, MOST_WORDS))
+        self.assertLessEqual(len(found.evidence()), MOST_WORDS)
+
+    def test_who_is_told_of_trouble_tells_too_for_a_while_and_that_does_not_feed_itself(self) -> None:
+        found = self.heard((0, self.REACHED))
+        self.assertEqual((found.alert(ALERT - 1), found.alert(ALERT)), (True, False))
+        found.add(1, Word(0, False, (self.REACHED,)), ALERT)     # a word without trouble of its own
+        self.assertFalse(found.alert(ALERT + 1))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -91,6 +91,28 @@
         self.assertGreater(seat.counts["probes"], 5)             # it looked again, and found the zone back
         self.assertEqual(seat.zones[1].back.state in ("ramp", "up"), True)
 
+    def test_a_zones_relays_that_are_cut_off_from_another_do_not_talk_the_rest_out_of_it(self) -> None:
+        """Relays of zone a lose their way to b; then c dies, whose relays have never needed b, and b takes their work."""
+        _, lines, spill, _ = self.play(
+            seconds=24, script="from 8s for 16s cut relay 0 from zone b\nfrom 8s for 16s cut relay 3 from zone b\n"
+                               "at 12s lose zone c")
+        self.assertEqual(spill.breaches, 0)
+        from_c = [self.zone_of[line.unit] for line in lines
+                  if type(line) is Shot and line.relay % 3 == 2 and 14 * SECOND <= line.at < 22 * SECOND]
+        self.assertGreater(from_c.count("b"), 0.4 * len(from_c))
+
+    def into_the_dead(self, listeners: int) -> int:
+        """Zones b and c die, one after the other, while the list is stale: shots of c's relays at dead units of b."""
+        with mock.patch("tealsail.choices.zones.LISTENERS", listeners):
+            _, lines, _, _ = self.play(seconds=18, fleet={"relays": 12},
+                                       script="from 9s for 8s list stale\nat 10s lose zone b\nat 13s lose zone c")
+        return sum(type(line) is Shot and line.relay % 3 == 2 and self.zone_of[line.unit] == "b"
+                   and line.at > 13 * SECOND for line in lines)
+
+    def test_relays_tell_each_other_of_a_zone_that_is_listed_and_dead(self) -> None:
+        told, alone = self.into_the_dead(3), self.into_the_dead(0)
+        self.assertLess(told, 0.7 * alone)
+
     def test_a_zone_that_flaps_every_five_seconds_waits_longer_each_time(self) -> None:
         script = "\n".join(f"at {at}s lose zone b for 3s" for at in (5, 12, 19, 26))
         result, lines, spill, model = self.play(seconds=40, script=script, list={"late_ms": [50, 100]},
