--- a/tealsail/choices/returning.py
+++ b/tealsail/choices/returning.py
@@ -15,7 +15,7 @@
         self.zoning, self.luck = zoning, luck
         self.state, self.level = UP, 1.0
         self.flaps, self.since = 0, -1 << 60     # how often it was lost of late; when the state began
-        self.good = self.bad = 0.0               # answers in time and late, since the last step
+        self.good = self.bad = 0                 # answers in time and late, since the last step
         self.stepped = 0
 
     def lost(self, now: int) -> None:
@@ -35,24 +35,27 @@
         self.good, self.bad = self.good + in_time, self.bad + (not in_time)
 
     def told(self, good: int, bad: int) -> None:
-        """What others saw: half of what one's own answers are worth."""
-        self.good, self.bad = self.good + good / 2, self.bad + bad / 2
+        """What others saw."""
+        self.good, self.bad = self.good + good, self.bad + bad
 
     def wait(self) -> int:
         """Before the way back begins: twice as long for each flap, with a bound, spread by luck."""
         zoning = self.zoning
         return int(min(zoning.longest_wait, zoning.wait << min(self.flaps, 20)) * (0.75 + 0.5 * self.luck))
 
-    def beat(self, now: int) -> None:
+    def beat(self, now: int, usual: float = 1 << 30) -> None:
+        """`usual`: shots that the zone is sent in a step when it is whole.  A step needs so many answers in time, or half of
+        what can be had, one at the least: among hundreds of relays each has little, and all of it together is much."""
         if self.state == WAITING and now >= self.since + self.wait():
             self.turn(RAMP, self.zoning.first, now)
         elif self.state == RAMP:
             seen = self.good + self.bad
-            if seen >= self.zoning.least and self.bad > self.zoning.late_part * seen:
+            needed = max(1.0, min(self.zoning.least, self.level * usual / 2))
+            if seen >= needed and self.bad > self.zoning.late_part * seen:
                 self.level = max(self.zoning.first, self.level / 2)      # it falters: back, and again from there
                 self.good = self.bad = 0
                 self.stepped = now
-            elif now >= self.stepped + self.zoning.step and self.good >= self.zoning.least:
+            elif now >= self.stepped + self.zoning.step and self.good >= needed:
                 self.level, self.stepped, self.good, self.bad = min(1.0, 2 * self.level), now, 0, 0
                 if self.level >= 1:
                     self.turn(UP, 1.0, now)
--- a/tealsail/choices/tiers.py
+++ b/tealsail/choices/tiers.py
@@ -18,7 +18,7 @@
     panic: float = 0.3                           # under so much of its usual capacity a tier is not preferred
     span: int = 20_000                           # of the shares
     memory: int = 6_000_000                      # half-life of what is usual
-    first: float = 0.05                          # of the way back: where it begins, and how it goes on
+    first: float = 0.1                           # of the way back: where it begins, and how it goes on
     step: int = 10_000
     least: int = 5                               # answers in time that a step needs
     late_part: float = 0.1                       # more late or failed answers than this turn it back
--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -46,15 +46,15 @@
         self.order = tiers(own, many, zoning)
         self.zones = {zone: Zone(zone, place, zoning, self.chance.share())
                       for place, tier in enumerate(self.order) for zone in tier.zones}
-        self.gives = [Give() for _ in self.order]
+        self.gives = {zone: Give() for zone in self.zones}
         self.keep = [1.0] + [0.0] * (len(self.order) - 1)        # by tier, what each may have, and the stated
-        self.room = list(self.keep)              # limit of that
+        self.room: dict[int, float] = {}         # limit of that by zone
         self.nearest = 0                         # the first tier that has units
         self.having: list[list[list[Zone]]] = [[[] for _ in self.order] for _ in (0, 1)]     # by side and tier
         self.here: list[list[int]] = [[], []]    # tiers that have units, by side
         self.out = 0                             # zones that are out of reach, for all that is known
         self.taken = Ring(zoning.span, BUCKETS)
-        self.spilled = [Ring(zoning.span, BUCKETS) for _ in self.order]
+        self.spilled = {zone: Ring(zoning.span, BUCKETS) for zone in self.zones}
         self.counts = {"kept": 0, "spilled": 0, "refused": 0, "probes": 0, "matched": 0, "doubted": 0, "told": 0}
         relay.tier = self.tier
         self.hearsay, self.own = Hearsay(2 * zoning.span), own
@@ -85,10 +85,11 @@
 
     def beat(self) -> None:
         now, fade = self.relay.now, 0.5 ** (5_000 / self.zoning.memory)
+        usual = self.taken.total(now) * self.zoning.step / self.zoning.span
         for zone in self.zones.values():
             zone.usual = max(zone.listed, zone.usual * fade)
-            zone.back.beat(now)
-        for give in self.gives:
+            zone.back.beat(now, usual)
+        for give in self.gives.values():
             give.beat(self.zoning.late_part)
         self.hearsay.forget(now)
         for seen in self.hearsay.evidence():     # a relay with little to do learns from those with more
@@ -149,7 +150,7 @@
         self.out = sum(zone.unreached or zone.doubted for zone in zones)
         self.nearest = min([zone.tier for zone in zones if zone.usual], default=0)
         self.keep, self.room = split(self.order, {zone.place: View(zone.usual, zone.able) for zone in zones},
-                                     [each.level for each in self.gives], self.zoning)
+                                     {zone: each.level for zone, each in self.gives.items()}, self.zoning)
 
     # what is done
     def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
@@ -163,12 +164,12 @@
                 return True
         tried: list[int] = []
         for tier in self.ways(invocation, side):
-            if tier > self.nearest and not self.may_spill(tier):
-                continue
             for zone in self.of(tier, side, tried):
+                if tier > self.nearest and not self.may_spill(zone):
+                    continue
                 tried.append(zone.place)
                 if self.next.forward(invocation, zone.rows[side]):
-                    self.sent(tier)
+                    self.sent(zone)
                     return True
         self.counts["refused"] += 1              # one row; the other build's may still take it
         return False
@@ -179,12 +180,12 @@
         for zone in self.zones.values():
             if (zone.doubted or zone.unreached and zone.back.state == OUT) and now >= zone.probe_at and zone.rows[side] \
                     and invocation.workload.effect == "harmless" \
-                    and (zone.tier <= self.nearest or self.may_spill(zone.tier)):    # the stated limit holds for looks
+                    and (zone.tier <= self.nearest or self.may_spill(zone)):    # the stated limit holds for looks
                 zone.probe_at = now + int((PROBE << min(zone.looks, SELDOM)) * (0.75 + 0.5 * self.chance.share()))
                 zone.looks += 1
                 if self.next.forward(invocation, zone.rows[side]):
                     self.counts["probes"] += 1
-                    self.sent(zone.tier)
+                    self.sent(zone)
                     return True
         return False
 
@@ -221,31 +222,34 @@
         return [invocation.tier] + [tier for tier in here if tier != invocation.tier]     # cold units refuse most
 
     def of(self, tier: int, side: int, tried: list[int]) -> list[Zone]:
-        """The tier's zones that may be used, one drawn by what they can do first."""
+        """The tier's zones that may be used, first one drawn by what may spill there, or by what they can do."""
         fit = [zone for zone in self.having[side][tier] if zone.able > 0 and zone.place not in tried]
         if len(fit) > 1:
-            luck = self.chance.share() * sum(zone.able for zone in fit)
-            first = fit[-1]
-            for zone in fit:
-                luck -= zone.able
+            parts = [self.room.get(zone.place, 0.0) * self.gives[zone.place].level for zone in fit]
+            if not any(parts):
+                parts = [zone.able for zone in fit]
+            luck, first = self.chance.share() * sum(parts), fit[-1]
+            for zone, part in zip(fit, parts):
+                luck -= part
                 if luck < 0:
                     first = zone
                     break
             fit = [first] + [zone for zone in fit if zone is not first]
         return fit
 
-    def may_spill(self, tier: int) -> bool:
-        """The stated limits, of this relay's own figures: a share of all, and a rate over the tier's own use.  One
-        above is let through, so that a relay with little to do can spill at all."""
+    def may_spill(self, zone: Zone) -> bool:
+        """The stated limits, of this relay's own figures: a share of all, and a rate over the zone's own use.  One above
+        is let through, so that a relay with little to do can spill at all."""
         now = self.relay.now
-        taken, spilled = self.taken.total(now), [ring.total(now) for ring in self.spilled]
-        return sum(spilled) < self.zoning.spill_share * taken and spilled[tier] < max(self.room[tier], FAR) * taken
+        taken, gone = self.taken.total(now), sum([ring.total(now) for ring in self.spilled.values()])
+        limit = max(self.room.get(zone.place, 0.0), FAR / len(self.order[zone.tier].zones))
+        return gone < self.zoning.spill_share * taken and self.spilled[zone.place].total(now) < limit * taken
 
-    def sent(self, tier: int) -> None:
-        far = tier > self.nearest
+    def sent(self, zone: Zone) -> None:
+        far = zone.tier > self.nearest
         self.counts["spilled" if far else "kept"] += 1
         if far:
-            self.spilled[tier].add(self.relay.now)
+            self.spilled[zone.place].add(self.relay.now)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         now, unit = self.relay.now, shot.unit
@@ -281,7 +285,7 @@
 
     def learn(self, zone: Zone, outcome: str, late: bool) -> None:
         if zone.tier > self.nearest:
-            self.gives[zone.tier].saw(late)
+            self.gives[zone.place].saw(late)
         if zone.back.state == RAMP:
             zone.back.saw(not late)
         if zone.unreached and outcome in ANSWERED:
--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -9,7 +9,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from ..lab import costs, fields, fits, imports, runs
+from ..lab import costs, fields, fits, imports, losses, runs
 from ..lab.bars import Bar, Difference
 from ..lab.figures import Result
 from ..lab.scenario import BadScenario, Scenario, read
@@ -27,7 +27,7 @@
     try:
         if chosen["model"]:
             for name, call in (("run", model_run), ("compare", model_compare), ("check", model_check),
-                               ("cost", model_cost), ("fields", model_fields)):
+                               ("losses", model_losses), ("cost", model_cost), ("fields", model_fields)):
                 if chosen[name]:
                     return call(chosen, out)
         if chosen["trial"]:
@@ -130,6 +130,10 @@
         from ..lab import charts
         charts.options(path, options, real)
         out.print(f"chart: {path}")
+        if any(name.startswith("shots.") for name in options[0].results[0].series):
+            beside = str(Path(path).with_suffix("")) + "-zones.png"
+            charts.zones(beside, {each.name: each.results for each in options})
+            out.print(f"chart: {beside}")
 
 
 def one_day(chosen: dict[str, Any], out: Console, result: Result, breaches: Sequence[Breach]) -> int:
@@ -230,6 +234,37 @@
     return int(broken or outside > 0)
 
 
+def model_losses(chosen: dict[str, Any], out: Console) -> int:
+    scenarios = [read(name) for name in chosen["OPTION"]]
+    many = number(chosen, "--replicas", max(2, FEWEST), MOST)
+    with Shown("days") as progress:
+        found = losses.losses(scenarios, many, number(chosen, "--jobs", 0, 512), progress)
+    table = Table(title=f"what the faults cost: {many} days each, with and without ([95%] of the mean)")
+    for column in ("figure", *(each.name for each in found)):
+        table.add_column(column, justify="left" if column == "figure" else "right")
+    for name in found[-1].bars:
+        row = [(each.bars[name].mean, each.bars[name].known) for each in found if name in each.bars]
+        table.add_row(name, *(f"{shown(mean, name)} ±{shown(known, name)}" for mean, known in row))
+    out.print(table)
+    gaps = {each.name: losses.compared(each, found[-1]) for each in found[:-1]}
+    for other, rows in gaps.items():
+        table = Table(title=f"A: {other}   B: {found[-1].name}")
+        for column in ("figure", "B - A [95%]", "better"):
+            table.add_column(column, justify="left" if column == "figure" else "right")
+        for name, gap in rows.items():
+            table.add_row(name, f"{gap.mean:+.4f} [{gap.low:+.4f}, {gap.high:+.4f}]", gap.better)
+        out.print(table)
+    save(chosen["--json"], {each.name: {"days": each.figures, "bars": {name: bar._asdict() for name, bar in each.bars.items()},
+                                        "breaches": losses.breaches(each)} for each in found}
+         | {"differences": {name: {figure: gap._asdict() for figure, gap in rows.items()} for name, rows in gaps.items()}})
+    if chosen["--chart"]:
+        from ..lab import charts
+        charts.zones(chosen["--chart"], {each.name: each.hit for each in found})
+        out.print(f"chart: {chosen['--chart']}")
+    broken = [say_breaches(out, [], losses.breaches(each)) for each in found]
+    return int(any(broken))
+
+
 def model_cost(chosen: dict[str, Any], out: Console) -> int:
     with Shown("fleets") as progress:
         tables = costs.tables(progress)
--- a/tealsail/command/main.py
+++ b/tealsail/command/main.py
@@ -16,6 +16,7 @@
   tealsail model compare A B [--replicas=N] [--jobs=N] [--json=FILE] [--chart=FILE]
   tealsail model check A B [--replicas=N] [--repeats=N] [--at-once=N] [--jobs=N] [--json=FILE] [--chart=FILE]
                            [--keep=DIR]
+  tealsail model losses OPTION... [--replicas=N] [--jobs=N] [--json=FILE] [--chart=FILE]
   tealsail model cost [--json=FILE] [--chart=FILE]
   tealsail model fields
   tealsail trial SCENARIO [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE] [--logs=DIR]
@@ -34,6 +35,8 @@
   model compare  Two scenarios on the same days; the differences, and which is better or can't tell.
   model check    Model both, then play both for real, and say whether each real figure lies in its bar.
                  Exit code 1 if one does not.
+  model losses   What the faults of a script cost: each option with its script and without, on the same days; the
+                 last option against each of the others.
   model cost     What the model costs for more relays and more units.
   model fields   Every field of a scenario: type, bounds, default.
   trial          Play a scenario for real: relay processes on loopback addresses.
--- a/tealsail/lab/charts.py
+++ b/tealsail/lab/charts.py
@@ -1,4 +1,4 @@
-"""Charts as PNG files: service over time with bars, latency curves, what the model costs."""
+"""Charts as PNG files: service over time with bars, latency curves, days by zone, what the model costs."""
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -75,6 +75,43 @@
     pyplot.close(figure)
 
 
+def mean_of(days: Sequence[Result], name: str, blank: float) -> numpy.ndarray:
+    """Of one series over all days; `blank` where a day has none."""
+    most = min(len(day.series["asked"]) for day in days)
+    rows = [(day.series.get(name, []) + [blank] * most)[:most] for day in days]
+    return numpy.mean(rows, axis=0)
+
+
+def zones(path: Path | str, shown: dict[str, Sequence[Result]]) -> None:
+    """For each option, means over its days: service of each zone's relays, shots by pair of zones, and how close units
+    that had just started came to their limit (the worst of each second)."""
+    figure, axes = pyplot.subplots(3, len(shown), figsize=(5.2 * len(shown), 8.4), sharex=True, sharey="row", squeeze=False)
+    for column, (name, days) in enumerate(shown.items()):
+        series = sorted({each for day in days for each in day.series})
+        places = [each.partition(".")[2] for each in series if each.startswith("service.")]
+        for place, zone in enumerate(places):
+            axes[0][column].plot(mean_of(days, f"service.{zone}", 1.0), color=COLOURS[place % len(COLOURS)], label=f"zone {zone}")
+        for each in (each for each in series if each.startswith("shots.")):
+            own, _, to = each.partition(".")[2].partition(">")
+            axes[1][column].plot(mean_of(days, each, 0.0), "-" if own != to else ":", label=f"{own} to {to}",
+                                 color=COLOURS[places.index(to) % len(COLOURS)] if to in places else None, linewidth=1,
+                                 alpha=0.5 if own == to else 1)
+        axes[2][column].plot(mean_of(days, "cold", 0.0), color=COLOURS[0], label="mean of days")
+        worst = numpy.max([(day.series.get("cold", []) + [0.0] * 1000)[:len(mean_of(days, "cold", 0.0))] for day in days], axis=0)
+        axes[2][column].plot(worst, ":", color=COLOURS[1], label="worst day")
+        axes[2][column].axhline(1.0, color="black", linewidth=0.8)
+        axes[0][column].set_title(name, fontsize=10)
+        axes[2][column].set_xlabel("second of the day")
+    for row, text in zip(axes, ("service of its relays", "shots a second", "of the cold limit")):
+        row[0].set_ylabel(text)
+        for axis in row:
+            axis.grid(alpha=0.3)
+            axis.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
+
+
 def cost(path: Path | str, tables: dict[str, list[tuple[int, float]]]) -> None:
     """Microseconds of CPU an invocation over relays and over units."""
     figure, axes = pyplot.subplots(1, len(tables), figsize=(5 * len(tables), 4), sharey=True)
--- a/tealsail/setup/document.py
+++ b/tealsail/setup/document.py
@@ -43,7 +43,7 @@
     panic: Part = 0.3
     span_ms: Milliseconds = 2_000.0
     memory_s: Annotated[float, Meta(ge=1, le=1e6)] = 600.0
-    first: Annotated[float, Meta(gt=0, le=1)] = 0.05
+    first: Annotated[float, Meta(gt=0, le=1)] = 0.1
     step_ms: Milliseconds = 1_000.0
     least: Annotated[int, Meta(ge=1, le=10_000)] = 5
     late_part: Part = 0.1
--- a/tealsail/world/rules.py
+++ b/tealsail/world/rules.py
@@ -58,6 +58,7 @@
         self.breaches: list[Breach] = []
         self.counts = dict.fromkeys(("lost", "twice", "drains", "cold", "exposure"), 0)
         self.nearest = {"cold": 0.0, "exposure": 0.0}
+        self.cold_by_second: dict[int, float] = {}               # the closest to the limit of any unit in that second
         self.open: dict[tuple[int, int], Open] = {}
         self.closed: deque[tuple[int, tuple[int, int]]] = deque()
         self.warned: dict[int, dict[str, int]] = {}              # relay -> unit that drains or is gone -> since
@@ -183,6 +184,8 @@
         able = start.capacity * (start.cold_from + (1 - start.cold_from) * age / start.warm_up)
         part = cold.total / (multiple * able * span)
         self.nearest["cold"] = max(self.nearest["cold"], part)
+        second = line.at // 10_000
+        self.cold_by_second[second] = max(self.cold_by_second.get(second, 0.0), part)
         if part > 1:
             self.breach(line.at, "cold", f"{line.unit} was sent {part:.2f} of its limit")
 
