Spill limits hold whatever each relay sees: agreed and private views kept apart

Cause: room was shared by views that relays do not have in common (answers that fail, ways back), so a zone that slowed while another was lost claimed room that was all given away: up to 1.5 times the stated limit by a property test in which each relay sees something else. Change: what is agreed (list, ways back begun by it, words of a zone's own relays) shares the room by need; what a relay alone sees gets its zone's part of what nobody is agreed to need, more for few in the same trouble; a loss is told at once; the ordinary case takes a short way.

--- a/tealsail/choices/hearsay.py
+++ b/tealsail/choices/hearsay.py
@@ -102,6 +102,18 @@
                 found.add(zone)
         return found
 
+    def troubled(self, own: int, reached: bool) -> dict[int, float]:
+        """By zone, the part of its own relays, of those heard, that do not reach it.  In its own zone a relay that has
+        heard another counts itself too; with nobody heard nothing is agreed."""
+        heard: dict[int, list[bool]] = {}
+        for _, word in self.words.values():
+            for seen in word.zones:
+                if seen.zone == word.own and seen.good + seen.late + seen.missed >= SAYS:
+                    heard.setdefault(seen.zone, []).append(seen.good + seen.late < seen.missed)
+        if own in heard:
+            heard[own].append(not reached)
+        return {zone: sum(each) / len(each) for zone, each in heard.items()}
+
     def evidence(self) -> list[Seen]:
         """Answers that others had, each relay's once a span and no more than a few, since this was last asked.  Misses are
         left out: they may be the teller's own trouble."""
--- a/tealsail/choices/spill.py
+++ b/tealsail/choices/spill.py
@@ -1,9 +1,11 @@
 """Which part of its invocations a relay keeps in each tier, and which part no tier may take.
 
-From what the zones can do now against what is usual there.  Every relay works this out alone, from the list and from
-what it sees; nothing depends on what others have just decided, so relays that act at one moment do not swing.  Relays
-of zones that are short share the next tier's room in proportion to what their zones are short of, which the list tells
-all of them alike.
+From what the zones can do now against what is usual there.  Two views are kept apart.  What is agreed (the list, ways
+back that it began, and what relays of a zone tell of their own) is the same for all relays, or nearly: by it the room
+that each zone has for others' work is shared among the zones that are short.  What a relay alone sees (answers that
+fail to come) decides what it wants to send elsewhere; of the room that nobody is agreed to need it may have its zone's
+part.  So the sum stays under the stated limit whatever each relay sees, and nothing depends on what others have just
+decided: relays that act at one moment do not swing.
 """
 from typing import NamedTuple
 
@@ -11,9 +13,11 @@
 
 
 class View(NamedTuple):
-    """A zone: weights that are usual there, and that can be used now (silent, cold and returning units in part)."""
+    """A zone: weights that are usual there, that this relay can use now (silent, cold and returning units in part), and
+    that all relays agree on."""
     usual: float
     able: float
+    agreed: float
 
 
 class Split(NamedTuple):
@@ -23,28 +27,37 @@
     room: dict[int, float]
 
 
-def split(order: list[Tier], zones: dict[int, View], give: dict[int, float], zoning: Zoning) -> Split:
-    """`give`: 0 to 1 by zone, how far evidence lets work spill there.  The first tier is the nearest that ever had
+def split(order: list[Tier], zones: dict[int, View], give: dict[int, float], zoning: Zoning,
+          company: float = 1.0) -> Split:
+    """`give`: 0 to 1 by zone, how far evidence lets work spill there.  `company`: the part of the relays of one's own zone
+    that are in the same trouble; the fewer, the more each may have of what is their zone's together.  The first tier is the nearest that ever had
     units.  Where all zones fell alike nothing spills: there is nowhere better.  The usual use of a zone is taken to go
     with its usual weight."""
-    part = {zone: view.able / view.usual if view.usual > 0 else 0.0 for zone, view in zones.items()}
-    best = max(part.values(), default=0.0)
-    if best <= 0:
+    part, health = parts({zone: view.able / view.usual if view.usual > 0 else 0.0 for zone, view in zones.items()})
+    if not any(part.values()):
         return Split([0.0] * len(order), {})
-    health = {zone: each / best for zone, each in part.items()}
+    known, whole = parts({zone: view.agreed / view.usual if view.usual > 0 else 0.0 for zone, view in zones.items()})
     short = {zone: view.usual * (1 - kept(part[zone], health[zone], zoning)) for zone, view in zones.items()}
-    total, left, spilled, first = sum(short.values()), 1.0, 0.0, 0.0
+    agreed = {zone: view.usual * (1 - kept(known[zone], whole[zone], zoning)) for zone, view in zones.items()}
+    total, usual_of_all = sum(agreed.values()), sum(view.usual for view in zones.values())
+    left, spilled, first = 1.0, 0.0, 0.0
+    nearest: tuple[int, ...] = ()
     keep: list[float] = []
     room: dict[int, float] = {}
     for tier in order:
         usual = sum(zones[zone].usual for zone in tier.zones)
         if not first:                            # none nearer ever had units
-            mine = sum(short[zone] for zone in tier.zones)
-            takes, first = (1 - mine / usual if usual else 0.0), usual
+            takes = 1 - sum(short[zone] for zone in tier.zones) / usual if usual else 0.0
+            nearest, first = tier.zones, usual
         else:
             for zone in tier.zones:
-                extra = zones[zone].usual * max(0.0, zoning.spill_over - zoning.spare * (1 - health[zone]))
-                room[zone] = min(zoning.spill_share, extra / first * (mine / total if total else 0.0))
+                extra = zones[zone].usual * max(0.0, zoning.spill_over - zoning.spare * (1 - min(health[zone], whole[zone])))
+                claims = {other: min(agreed[other], extra * agreed[other] / total) if total else 0.0 for other in agreed}
+                claimed = sum(claims.values()) - claims[zone]
+                allowed, others = sum(claims[one] for one in nearest), usual_of_all - zones[zone].usual
+                if others > 0:                   # and of what nobody is agreed to need, one's own zone's part
+                    allowed += max(0.0, extra - claimed) * first / others
+                room[zone] = min(zoning.spill_share, allowed / first / company)
             takes = max(0.0, min(left, sum(room[zone] * give[zone] for zone in tier.zones), zoning.spill_share - spilled))
             spilled += takes
         keep.append(takes)
@@ -52,6 +65,12 @@
     return Split(keep, room)
 
 
+def parts(part: dict[int, float]) -> tuple[dict[int, float], dict[int, float]]:
+    """What is there of the usual, by zone, and the same against the best zone."""
+    best = max(part.values(), default=0.0)
+    return part, {zone: each / best if best > 0 else 0.0 for zone, each in part.items()}
+
+
 def kept(part: float, health: float, zoning: Zoning) -> float:
     """What a zone does of its usual work itself: with something to spare, but not once most of it is out."""
     return min(1.0, health * (zoning.spare if part >= zoning.panic else 1.0))
--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -11,6 +11,7 @@
 from .tiers import Zoning, tiers
 
 ANSWERED = ("served", "error", "full")
+IN_TIME = ("served", "full", "moot")             # if they come before they are late
 MISSED = ("unreachable", "reset", "timeout")
 GONE = 0.5                                       # under so much of what is usual, against the best zone: lost
 UNANSWERED = 5                                   # misses in a row, with no answer between: out of reach
@@ -35,6 +36,7 @@
         self.probe_at = self.looks = self.row_of_misses = 0
         self.unreached = False                   # out by its silence, not by the list
         self.doubted = False                     # out by the words of others, with no answer of its own against them
+        self.alone = False                       # its present loss began with a silence, not with the list
 
 
 class Zones(Stage):
@@ -53,6 +55,7 @@
         self.having: list[list[list[Zone]]] = [[[] for _ in self.order] for _ in (0, 1)]     # by side and tier
         self.here: list[list[int]] = [[], []]    # tiers that have units, by side
         self.out = 0                             # zones that are out of reach, for all that is known
+        self.home: Zone | None = None            # takes all, while nothing is out, short or on trial
         self.taken = Ring(zoning.span, BUCKETS)
         self.spilled = {zone: Ring(zoning.span, BUCKETS) for zone in self.zones}
         self.counts = {"kept": 0, "spilled": 0, "refused": 0, "probes": 0, "matched": 0, "doubted": 0, "told": 0}
@@ -107,6 +110,8 @@
         if word is None:
             return self.hear_on(sender, data)
         self.hearsay.add(sender, word, self.relay.now)
+        if self.zones[self.own].alone:           # whether others of its zone are in the same trouble decides its room
+            self.weigh()
 
     def tell(self) -> None:
         """What was seen of late, while there is trouble, to a few relays drawn anew each time."""
@@ -134,12 +139,15 @@
         now, zones = self.relay.now, list(self.zones.values())
         part = {zone.place: zone.listed / zone.usual if zone.usual else 0.0 for zone in zones}
         best, doubts = max(part.values()), self.hearsay.doubts()
+        troubled = self.hearsay.troubled(self.own, not self.zones[self.own].alone)
+        views = {}
         for zone in zones:
             answered, missed = zone.answered.total(now), zone.missed.total(now)
             gone = part[zone.place] < GONE * best
-            if gone and zone.back.state != OUT:
-                zone.unreached = False
-                zone.back.lost(now)
+            if gone:
+                zone.unreached = zone.alone = False
+                if zone.back.state != OUT:
+                    zone.back.lost(now)
             elif not gone and not zone.unreached:
                 zone.back.there(now)
             seen = answered / (answered + missed) if answered + missed >= FEW else 1.0
@@ -147,18 +155,31 @@
             self.counts["doubted"] += doubted and not zone.doubted
             zone.doubted = doubted
             zone.able = zone.listed * seen * zone.back.level * (not doubted)
+            zone.alone = zone.alone and zone.back.state != UP
+            agreed = zone.listed * (1.0 if zone.alone else zone.back.level) * (1 - troubled.get(zone.place, 0.0))
+            views[zone.place] = View(zone.usual, zone.able, agreed)
         self.out = sum(zone.unreached or zone.doubted for zone in zones)
         self.nearest = min([zone.tier for zone in zones if zone.usual], default=0)
-        self.keep, self.room = split(self.order, {zone.place: View(zone.usual, zone.able) for zone in zones},
-                                     {zone: each.level for zone, each in self.gives.items()}, self.zoning)
+        self.keep, self.room = split(self.order, views, {zone: each.level for zone, each in self.gives.items()},
+                                     self.zoning, troubled.get(self.own, 1.0) if self.zones[self.own].alone else 1.0)
+        home = self.having[0][self.nearest]
+        whole = len(home) == 1 and not self.out and not self.relay.rows[1] and self.keep[self.nearest] >= 1
+        self.home = home[0] if whole and home[0].able > 0 else None
 
     # what is done
     def forward(self, invocation: Invocation, row: list[Unit]) -> bool:
         if not row:
             return False
-        side = self.relay.on_trial(row[0].build)
+        relay, home = self.relay, self.home
         if invocation.tier is None:              # one draw for the invocation, whatever build it ends at
-            self.taken.add(self.relay.now)
+            self.taken.add(relay.now)
+            if home is not None:                 # the ordinary case, kept cheap: nothing to weigh or draw
+                invocation.tier = self.nearest
+                if self.next.forward(invocation, home.rows[0]):
+                    self.counts["kept"] += 1
+                    return True
+        side = relay.on_trial(row[0].build)
+        if invocation.tier is None:
             invocation.tier = self.drawn(invocation)
             if self.out and self.looked(invocation, side):
                 return True
@@ -252,36 +273,36 @@
             self.spilled[zone.place].add(self.relay.now)
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
-        now, unit = self.relay.now, shot.unit
-        zone = self.zones.get(unit.zone)
+        zone = self.zones.get(shot.unit.zone)
         if zone:
+            now, invocation = self.relay.now, shot.invocation
+            late = outcome not in IN_TIME or latency > LATE * invocation.workload.promised * max(1.0, invocation.size)
             if outcome in ANSWERED:
                 zone.answered.add(now)
                 zone.row_of_misses = zone.looks = 0
+                if late:
+                    zone.late.add(now)
                 if zone.doubted:
                     zone.doubted = False
                     self.weigh()
             elif outcome in MISSED:
                 zone.missed.add(now)
                 self.missed(zone)
-            late = outcome not in ("served", "full", "moot") or \
-                latency > LATE * shot.invocation.workload.promised * max(1.0, shot.invocation.size)
-            if late and outcome in ANSWERED:
-                zone.late.add(now)
-            if outcome != "cancelled":
+            if (zone.tier > self.nearest or zone.back.state != UP or zone.unreached) and outcome != "cancelled":
                 self.learn(zone, outcome, late)
-            if unit.rest_until > now:            # it goes to the end of its row, as in the rows of all zones
+            if shot.unit.rest_until > now:       # it goes to the end of its row, as in the rows of all zones
                 for row in zone.rows:
-                    row.sort(key=lambda other: other is unit)
-        super().backward(shot, outcome, latency)
+                    row.sort(key=lambda other: other is shot.unit)
+        self.before.backward(shot, outcome, latency)
 
     def missed(self, zone: Zone) -> None:
         """At once, not at the next beat: half a second of a lost zone's work is at stake."""
         zone.row_of_misses += 1
         if zone.row_of_misses >= UNANSWERED and zone.back.state != OUT:
-            zone.unreached = True
+            zone.unreached = zone.alone = True
             zone.back.lost(self.relay.now)
             self.weigh()
+            self.tell()
 
     def learn(self, zone: Zone, outcome: str, late: bool) -> None:
         if zone.tier > self.nearest:
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -25,8 +25,8 @@
     """Zone 0 is the relay's own; 1 and 2 are equally near, 3 is far."""
     ORDER = [Tier(0.0, (0,)), Tier(1.0, (1, 2)), Tier(5.0, (3,))]
 
-    def of(self, *able: float, give: float = 1.0, **rules) -> list:
-        views = {zone: View(10.0, each) for zone, each in enumerate(able)}
+    def of(self, *able: float, give: float = 1.0, agreed: tuple[float, ...] = (), **rules) -> list:
+        views = {zone: View(10.0, each, agreed[zone] if agreed else each) for zone, each in enumerate(able)}
         order = [tier._replace(zones=tuple(zone for zone in tier.zones if zone in views)) for tier in self.ORDER]
         found = split(order, views, dict.fromkeys(views, give), RULES._replace(**rules))
         return [round(each, 3) for each in found.keep]
@@ -61,29 +61,36 @@
         self.assertEqual(self.of(2, 10, 10)[0], 0.2)
         self.assertEqual(self.of(4, 10, 10)[0], 0.56)
 
+    def test_what_a_relay_alone_sees_gets_its_zones_part_of_the_room_that_nobody_is_agreed_to_need(self) -> None:
+        self.assertEqual(self.of(0, 10, 10, agreed=(10, 10, 10)), [0.0, 0.5, 0.0])   # half of a half from each of two
+        self.assertEqual(self.of(0, 0, 10, agreed=(10, 0, 10)), [0.0, 0.0, 0.0])     # all of it is the lost zone's
+
     def test_a_relay_whose_zone_never_had_units_uses_the_next_as_its_own(self) -> None:
-        views = {0: View(0.0, 0.0), 1: View(10.0, 10.0), 2: View(10.0, 10.0)}
+        views = {0: View(0.0, 0.0, 0.0), 1: View(10.0, 10.0, 10.0), 2: View(10.0, 10.0, 10.0)}
         self.assertEqual(split(self.ORDER[:2], views, dict.fromkeys(views, 1.0), RULES).keep, [0.0, 1.0])
 
     @given(st.lists(st.tuples(WEIGHTS, st.floats(0, 1.5)), min_size=1, max_size=6), st.data(), st.floats(0, 1), st.floats(0, 2))
     def test_no_zone_is_sent_more_than_the_stated_rate_by_all_relays_together(self, rows, data, share, over) -> None:
         """Each zone's relays decide alone; what comes to a zone from all others is summed up."""
         rules = RULES._replace(spill_share=share, spill_over=over)
-        views = {zone: View(weight, weight * part) for zone, (weight, part) in enumerate(rows)}
+        agreed = {zone: View(weight, 0.0, weight * part) for zone, (weight, part) in enumerate(rows)}
+        views = agreed
         costs = {(a, b): data.draw(st.sampled_from([1.0, 2.0])) for a in views for b in views if a < b}
         come = dict.fromkeys(views, 0.0)
         for own in views:
             order = tiers(own, len(views), Zoning(costs))
+            views = {zone: view._replace(able=view.usual * data.draw(st.sampled_from([0.0, 0.2, 0.8, 1.0])))
+                     for zone, view in agreed.items()}           # each sees something else
             give = {zone: data.draw(st.sampled_from([0.3, 1.0])) for zone in views}
             found = split(order, views, give, rules)
             self.assertTrue(all(each >= 0 for each in found.keep))
             self.assertLessEqual(sum(found.keep), 1 + 1e-9)
             self.assertLessEqual(sum(found.keep[1:]), share + 1e-9)
             for tier, part in list(zip(order, found.keep))[1:]:
-                self.assertLessEqual(part, sum(found.room[zone] for zone in tier.zones) + 1e-9)
+                self.assertLessEqual(part, sum(found.room.get(zone, 0.0) for zone in tier.zones) + 1e-9)
             for zone, room in found.room.items():                # the most that the gate lets through
                 come[zone] += room * views[own].usual
-        for zone, view in views.items():
+        for zone, view in agreed.items():
             self.assertLessEqual(come[zone], over * view.usual * (1 + 1e-6) + 1e-9)
 
     def test_spill_falls_back_when_what_spilled_comes_late_and_rises_slowly(self) -> None:
@@ -108,7 +115,7 @@
         """A zone of three is lost; each relay sees lateness where the other two are over what they can do.  Usual use
         is 70%, so half of the lost zone's work fits: the sum must settle near that, with no great swings."""
         gives, load = [Give() for _ in range(200)], []
-        views = {0: View(10.0, 0.0), 1: View(10.0, 10.0), 2: View(10.0, 10.0)}
+        views = {0: View(10.0, 0.0, 0.0), 1: View(10.0, 10.0, 10.0), 2: View(10.0, 10.0, 10.0)}
         for beat in range(200):
             spilled = sum(split(self.ORDER[:2], views, dict.fromkeys(views, give.level), RULES).keep[1] for give in gives) / len(gives)
             busy = 0.7 * (1 + spilled / 2)
@@ -237,6 +244,12 @@
         found.forget(40_000)
         self.assertEqual(found.doubts(), set())
 
+    def test_how_much_of_a_zone_is_in_trouble_by_its_own_relays_words(self) -> None:
+        found = self.heard((1, self.OUT_OF_REACH), (1, self.REACHED), (0, self.OUT_OF_REACH), (0, Seen(0, 9, 0, 0)))
+        self.assertEqual(found.troubled(2, True), {1: 0.5, 0: 0.0})          # what a tells of b does not count here
+        self.assertEqual(found.troubled(1, False)[1], 2 / 3)
+        self.assertEqual(self.heard().troubled(1, False), {})
+
     def test_a_word_on_too_little_says_nothing(self) -> None:
         self.assertEqual(self.heard(*[(0, Seen(1, 0, 0, 2))] * 9).doubts(), set())
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -8,13 +8,14 @@
 import unittest
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from hypothesis import given, strategies as st
 from scipy import stats
 
 from tealsail.command.main import main
-from tealsail.lab import bars, costs, fits, runs
-from tealsail.lab.figures import Figures
+from tealsail.lab import bars, costs, fits, losses, runs
+from tealsail.lab.figures import Figures, Result
 from tealsail.lab.scenario import BadScenario, convert, read
 from tealsail.lab.script import Unclear, read_script
 from tealsail.lab.virtual import Model
@@ -388,6 +389,52 @@
                 fits.drawn(convert(day(fit=str(fitted), builds={"fitted": True})), 2)
 
 
+class Losses(unittest.TestCase):
+    """What a fault cost, against the same day without it."""
+
+    def day(self, service: list[float], to_a: float = 10.0, **figures: float) -> Result:
+        many = len(service)
+        return Result("a day", 1, "model", {"service": sum(service) / many} | figures,
+                      {"asked": [10.0] * many, "service": service, "shots.a>a": [10.0] * many,
+                       "shots.b>a": [0.0] * 10 + [to_a] * (many - 10), "shots.b>b": [10.0] * 10 + [0.0] * (many - 10)})
+
+    def test_time_until_service_is_back_what_it_cost_and_what_came_over_the_others(self) -> None:
+        calm = self.day([1.0] * 40, to_a=0.0)
+        hit = self.day([1.0] * 10 + [0.4] * 6 + [1.0] * 8 + [0.7] * 4 + [0.99] * 12)
+        found = losses.figures(hit, calm, 10, {"b"})
+        self.assertEqual(found["back_s"], 7)     # the mean of three seconds is whole one second later
+        self.assertEqual(found["out_s"], 7 + 6)
+        self.assertAlmostEqual(found["cost"], (6 * 0.6 + 4 * 0.3 + 12 * 0.01) / 30)
+        self.assertAlmostEqual(found["lowest"], 0.4)
+        self.assertAlmostEqual(found["overshoot"], 2.0)          # a gets b's ten on top of its own; b itself is lost
+        self.assertEqual(losses.figures(calm, calm, 10, {"b"})["back_s"], 0)
+
+    def test_a_day_that_never_comes_back_says_so(self) -> None:
+        found = losses.figures(self.day([1.0] * 10 + [0.5] * 10), self.day([1.0] * 20), 10, {"b"})
+        self.assertEqual((found["back_s"], found["out_s"]), (10, 10))
+
+    def test_options_are_played_with_their_script_and_without_on_the_same_days(self) -> None:
+        tree = day(seconds=12, fleet={"relays": 3, "units": 6, "zones": ["a", "b", "c"]}, clients={"rate": 60},
+                   builds={"offered_s": 90}, script="at 4s lose zone b for 4s")
+        tiers = convert(tree | {"name": "tiers", "document": {"zones": {"spill_over": 0.1}}})
+        first, second = losses.losses([convert(tree), tiers], 2, 1)
+        self.assertEqual([len(first.hit), len(second.calm)], [2, 2])
+        self.assertGreater(first.bars["spill_peak"].mean, 0.8)   # even: two thirds are foreign
+        self.assertLess(second.bars["spill_peak"].mean, 0.35)
+        self.assertGreater(losses.compared(first, second)["rejected"].mean, 0)
+        self.assertEqual(losses.breaches(second), {})
+        with self.assertRaisesRegex(ValueError, "no fault"):
+            losses.losses([convert(day())], 2, 1)
+
+    def test_a_stated_limit_that_is_broken_is_a_broken_rule_of_the_day(self) -> None:
+        """Tiers that let everything through, told to the checker as a limit of a tenth."""
+        tree = day(seconds=14, fleet={"relays": 3, "units": 6, "zones": ["a", "b", "c"]}, clients={"rate": 120},
+                   builds={"offered_s": 90}, script="at 6s lose zone b", document={"zones": {"spill_over": 0.1}})
+        with mock.patch("tealsail.choices.zones.Zones.may_spill", lambda self, zone: True), \
+                mock.patch("tealsail.choices.zones.Zones.drawn", lambda self, invocation: 1):
+            self.assertGreater(runs.play(convert(tree), 1)[0].breaches["spill"], 0)
+
+
 class Commands(unittest.TestCase):
     def test_the_commands_of_the_model(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
