--- a/tealsail/choices/hearsay.py
+++ b/tealsail/choices/hearsay.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import NamedTuple
 
-KIND, TROUBLE = 0x7A, 1                          # of a word; its flag: a zone is not whole for the sender
+KIND, TROUBLE, ALONE = 0x7A, 1, 2                # of a word; its flags
 MOST_ZONES = 63                                  # of a word: 3 + 4 * 63 bytes
 MOST_WORDS = 64                                  # kept
 LISTENERS = 3                                    # told each beat
@@ -29,7 +29,8 @@
 
 class Word(NamedTuple):
     own: int                                     # the sender's zone
-    trouble: bool
+    trouble: bool                                # a zone is not whole for the sender
+    alone: bool                                  # its own is not, by what it sees itself and not by the list
     zones: tuple[Seen, ...]
 
 
@@ -40,7 +41,7 @@
     if len(rows) > MOST_ZONES:
         rows = sorted(rows, key=lambda seen: (-seen.missed - seen.late, -seen.good, seen.zone))[:MOST_ZONES]
     flat = [min(255, figure) for seen in rows for figure in seen]
-    return struct.pack(f"BBB{len(flat)}B", KIND, word.own & 0xFF, TROUBLE * word.trouble, *flat)
+    return struct.pack(f"BBB{len(flat)}B", KIND, word.own & 0xFF, TROUBLE * word.trouble + ALONE * word.alone, *flat)
 
 
 def decode(data: bytes) -> Word | None:
@@ -50,7 +51,7 @@
     rows: dict[int, Seen] = {}
     for place in range(3, len(data), 4):
         rows.setdefault(data[place], Seen(*data[place:place + 4]))
-    return Word(data[1], bool(data[2] & TROUBLE), tuple(rows.values()))
+    return Word(data[1], bool(data[2] & TROUBLE), bool(data[2] & ALONE), tuple(rows.values()))
 
 
 class Hearsay:
@@ -102,16 +103,14 @@
                 found.add(zone)
         return found
 
-    def troubled(self, own: int, reached: bool) -> dict[int, float]:
-        """By zone, the part of its own relays, of those heard, that do not reach it.  In its own zone a relay that has
-        heard another counts itself too; with nobody heard nothing is agreed."""
+    def troubled(self, own: int, alone: bool) -> dict[int, float]:
+        """By zone, the part of its own relays, of those heard, for which it is in trouble that the list does not show.  In
+        its own zone a relay that has heard another counts itself (`alone`) too; with nobody heard nothing is agreed."""
         heard: dict[int, list[bool]] = {}
         for _, word in self.words.values():
-            for seen in word.zones:
-                if seen.zone == word.own and seen.good + seen.late + seen.missed >= SAYS:
-                    heard.setdefault(seen.zone, []).append(seen.good + seen.late < seen.missed)
+            heard.setdefault(word.own, []).append(word.alone)
         if own in heard:
-            heard[own].append(not reached)
+            heard[own].append(alone)
         return {zone: sum(each) / len(each) for zone, each in heard.items()}
 
     def evidence(self) -> list[Seen]:
--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -128,7 +128,7 @@
                 rows.append(Seen(zone.place, max(0, answered - late), late, missed))
         if not rows and not trouble:
             return
-        data, others = encode(Word(self.own, trouble, tuple(rows))), facts["relays"] - 1
+        data, others = encode(Word(self.own, trouble, self.zones[self.own].alone, tuple(rows))), facts["relays"] - 1
         for _ in range(min(LISTENERS, others)):
             to = int(self.chance.share() * others)
             self.counts["told"] += 1
@@ -139,7 +139,7 @@
         now, zones = self.relay.now, list(self.zones.values())
         part = {zone.place: zone.listed / zone.usual if zone.usual else 0.0 for zone in zones}
         best, doubts = max(part.values()), self.hearsay.doubts()
-        troubled = self.hearsay.troubled(self.own, not self.zones[self.own].alone)
+        troubled = self.hearsay.troubled(self.own, self.zones[self.own].alone)
         views = {}
         for zone in zones:
             answered, missed = zone.answered.total(now), zone.missed.total(now)
