Even time: steps of the wall clock move nothing, a stopped process trusts nothing older

Cause: a relay's time was the wall clock, never let back, and so were the reactor's timers: a step back of an hour froze every decision for an hour, a step ahead abandoned all at hand; after SIGSTOP what was out counted as late against its build and unit.

--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -268,6 +268,8 @@
 def model_cost(chosen: dict[str, Any], out: Console) -> int:
     with Shown("fleets") as progress:
         tables = costs.tables(progress)
+    with Shown("decisions") as progress:
+        decisions = costs.decisions(progress)
     table = Table(title="CPU of the model on one core")
     for column in ("over", "size", "microseconds an invocation", "invocations a second"):
         table.add_column(column, justify="right")
@@ -275,7 +277,13 @@
         for size, each in points:
             table.add_row(name, str(size), f"{each:.0f}", f"{1e6 / each:.0f}")
     out.print(table)
-    save(chosen["--json"], tables)
+    table = Table(title="a relay's pick and what came of it, microseconds of CPU; with zones in the document, in turns")
+    for column in ("units", "without", "with zones", "ratio (median of rounds)"):
+        table.add_column(column, justify="right")
+    for units, each in decisions.items():
+        table.add_row(str(units), f"{each.without:.1f}", f"{each.with_it:.1f}", f"{each.ratio:.3f}")
+    out.print(table)
+    save(chosen["--json"], tables | {"decisions": {str(units): each._asdict() for units, each in decisions.items()}})
     if chosen["--chart"]:
         from ..lab import charts
         charts.cost(chosen["--chart"], tables)
--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -2,6 +2,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Mapping
 from typing import Any
 
@@ -13,6 +14,8 @@
 from ..net.relay import Relay
 from ..net.start import BadStart, read, read_again
 
+BOOT = getattr(time, "CLOCK_BOOTTIME", None)
+
 
 def run(chosen: dict[str, Any], environment: Mapping[str, str]) -> int:
     """`serve` and `check`; returns the exit code."""
@@ -59,12 +62,18 @@
         raise BadStart(f"{path}: {problem}" if path not in str(problem) else str(problem)) from None
 
 
+def steady() -> float:
+    """Seconds of a clock that never steps, and that counts the time in which a machine sleeps where the system has one."""
+    return time.clock_gettime(BOOT) if BOOT is not None else time.monotonic()
+
+
 def serve(told: Any, document: Any = None) -> int:
     """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters, SIGHUP has the file read again."""
     from twisted.internet import reactor
+    reactor.seconds = steady                     # its timers too: a step of the wall clock must not fire or hold them
     globalLogBeginner.beginLoggingTo([network_fault], redirectStandardIO=False)
     try:
-        relay = Relay(reactor, told, Counters(), document)
+        relay = Relay(reactor, told, Counters(), document, time.time)
         signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, relay))   # before any client
         relay.start()
     except (ArithmeticError, AttributeError, LookupError, TypeError) as problem:
--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -241,6 +241,10 @@
             self.moved = True
         super().move(address)
 
+    def anew(self) -> None:
+        self.moved = True
+        super().anew()
+
     def ask(self) -> None:
         first = self.version is None
         self.counters.add("discovery.asked")
--- a/tealsail/net/kept.py
+++ b/tealsail/net/kept.py
@@ -78,6 +78,11 @@
             self.address, self.pause = address, AGAIN
             self.start()
 
+    def anew(self) -> None:
+        """What is known may be old: a new connection at once, and all of it asked for there."""
+        self.pause = AGAIN
+        self.start()
+
     def expect(self, seconds: float) -> None:
         """Without a sign from the other side within that time, the connection ends."""
         self.quiet()
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -1,4 +1,5 @@
 """The relay that wires clients, units, discovery, the platform and peers to the facade."""
+from collections.abc import Callable
 from hashlib import blake2b
 from typing import Any
 
@@ -7,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from .. import settings
+from ..choices.clock import Clock, Stamps
 from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
                       Step, Units as Listing)
 from .clients import Answer, Clients, Forfeited, Rejected
@@ -23,6 +25,7 @@
 OPEN = {"ready": "open"}                         # other states keep their names
 LINGER, LAST = 0.5, 0.05                         # seconds after SIGTERM: clients still come; looks at the end
 TENTHS = 10_000                                  # in a second
+LOOK = 1.0                                       # seconds between looks at the clocks
 
 
 def number_of(name: str) -> int:
@@ -118,12 +121,14 @@
 
 class Relay:
     """One relay, from `start` to `stop`; embedders hand in their own reactor, and the operator's document if they
-    have one (tealsail/setup/document.py).  Raises OSError if a record can't be opened."""
+    have one (tealsail/setup/document.py).  `wall` is Unix time in seconds where the reactor's clock is a steady one;
+    without it the reactor's is taken for both.  Raises OSError if a record can't be opened."""
 
     def __init__(self, reactor: Any, told: Assignment, counters: Counters | None = None,
-                 document: Any = None) -> None:
+                 document: Any = None, wall: Callable[[], float] | None = None) -> None:
         self.reactor, self.told, self.counters = reactor, told, counters or Counters()
-        self.last, self.due = 0, 0
+        self.clock, self.due = Clock(reactor.seconds, wall or reactor.seconds, self.woke), 0
+        self.stamps = Stamps(self.clock)
         facts = told.facts
         self.facade = Facade(facts, told.seed, self.clock, document.seats(facts) if document else ())
         room = max(FEWEST, told.sockets - SPARE) // 2
@@ -140,17 +145,13 @@
         self.ids: set[bytes] = set()             # of those that are being served
         self.ports: list[Any] = []
         self.timer: Any = None
+        self.looking: Any = None                 # the timer of the next look at the clocks
         self.stopped: Deferred[None] | None = None
         self.record: Any = None                  # a tealsail.net.recording.Record, where the operator has one kept
         if document and document.recording:
             from .recording import Record
             self.record = Record(self, document.recording)
 
-    def clock(self) -> int:
-        """Unix time in tenths of a millisecond; it never goes back."""
-        self.last = max(self.last, int(self.reactor.seconds() * TENTHS))
-        return self.last
-
     def start(self) -> None:
         """Serve from what is known already; raises CannotListenError."""
         if self.told.state:
@@ -166,8 +167,31 @@
         self.ports.append(self.reactor.listenTCP(port, self.clients, 512, host))
         logger.info("serving name={} listen={} units={}", self.told.name, self.told.listen,
                     len(self.told.known.entries))
+        self.looking = self.reactor.callLater(LOOK, self.look)
         self.schedule()
 
+    def look(self) -> None:
+        """Steps of the wall clock are told and move nothing."""
+        step = self.clock.look()
+        if step:
+            self.counters.add("clock.steps")
+            logger.warning("clock: the wall clock stepped by {:+.3f} s; timers and deadlines go on evenly", step)
+        self.looking = self.reactor.callLater(LOOK, self.look)
+
+    def woke(self, gap: float) -> None:
+        """After a time in which nothing ran nothing older is trusted: evidence at once, then what others keep."""
+        self.counters.add("clock.gaps")
+        logger.warning("clock: nothing ran for {:.1f} s; list and platform are asked anew", gap)
+        self.facade.slept()
+        self.reactor.callLater(0, self.anew)
+
+    def anew(self) -> None:
+        if not self.stopped:
+            self.units.forget_idle()
+            self.discovery.anew()
+            if self.told.platform:
+                self.platform.anew()
+
     def assign(self, told: Assignment) -> None:
         """A new configuration: discovery and the platform move; all else stays as at the start."""
         self.discovery.move(told.discovery)
@@ -195,6 +219,7 @@
                 self.units.unlisted(number_of(entry.id))
         if kind != "changes":
             here = {number_of(entry.id) for entry in entries}
+            self.stamps.keep(here)
             for number in self.units.numbers():
                 if number not in here:
                     self.units.unlisted(number)
@@ -204,8 +229,9 @@
         self.schedule()
 
     def entry(self, entry: Entry) -> Listed:
-        return Listed(number_of(entry.id), entry.build, OPEN.get(entry.state, entry.state),
-                      self.zones.get(entry.zone, 0), entry.cell, entry.weight, settings.tenths(entry.started))
+        number = number_of(entry.id)
+        return Listed(number, entry.build, OPEN.get(entry.state, entry.state), self.zones.get(entry.zone, 0), entry.cell,
+                      entry.weight, self.stamps.of(number, settings.tenths(entry.started)))
 
     def stood(self, state: State) -> None:
         if self.record:
@@ -278,6 +304,7 @@
             return
         self.discovery.stop()
         self.platform.stop()
+        self.looking.cancel()
         if self.record:
             self.record.close()
         self.count_seats()
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -363,6 +363,11 @@
             longest.end("no_room")
         return longest is not None
 
+    def forget_idle(self) -> None:
+        """After a time in which nothing ran idle connections may be dead: new ones are made."""
+        for pool in self.pools.values():
+            pool.trim(self.reactor.seconds())
+
     def trimming(self) -> None:
         """Idle connections end well before the unit's machine would end them."""
         now = self.reactor.seconds()
