A judge's memory no longer grows with restarts: two starts of a sender, the rest in sums

Cause: Pool kept every start of every sender while a build is the newest; hourly restarts and forged starts only added to it. Change: of a sender the two starts heard of last are kept, the others' counts stay in the sums and eight marks of them keep late notes from counting again. Measured: 168 restarts of 20 senders and 10,000 forged starts leave 40 starts; sums as done; Hypothesis on loss, order, doubling.

--- a/tealsail/notes.py
+++ b/tealsail/notes.py
@@ -3,6 +3,7 @@
 
 MOST = 60                                        # figures of a message: 10 + 4 * 60 bytes
 LOW = 0xFFFF                                     # the most that one figure holds
+STARTS, PAST = 2, 8                              # of one sender that are kept apart, and that are known to be over
 
 
 def verdict_note(build: int, stage: int, verdict: int) -> bytes:
@@ -35,14 +36,38 @@
 
 
 class Pool:
-    """Cumulative counts of many senders and their sums: of two of one start the larger is the newer."""
+    """Cumulative counts of many senders and their sums: of two of one start the larger is the newer.
+
+    Bounded by senders and cells, whatever restarts there are: of a sender the two starts heard of last are kept, since
+    notes of the one before may still be on their way.  What older ones counted stays in the sums; their marks are kept
+    for a while, so that a note that was doubled does not count again.
+    """
 
     def __init__(self, size: int) -> None:
         self.sums = [0] * size
-        self.known: dict[tuple[int, int], dict[int, int]] = {}   # sender and its start -> cell -> count
+        self.known: dict[int, dict[int, dict[int, int]]] = {}    # sender -> its start -> cell -> count
+        self.over: dict[int, list[int]] = {}     # sender -> starts that are over
+
+    def of(self, sender: int, born: int) -> dict[int, int] | None:
+        """What is known of that start, the one heard of last in the end; None for one that is over."""
+        starts = self.known.setdefault(sender, {})
+        known = starts.pop(born, None)
+        if known is None:
+            past = self.over.get(sender, [])
+            if born in past:
+                return None
+            known = {}
+            if len(starts) >= STARTS:
+                oldest = next(iter(starts))
+                del starts[oldest]
+                self.over[sender] = past[-PAST + 1:] + [oldest]
+        starts[born] = known
+        return known
 
     def add(self, sender: int, born: int, cells: tuple[int, ...]) -> None:
-        known = self.known.setdefault((sender, born), {})
+        known = self.of(sender, born)
+        if known is None:
+            return
         above: dict[int, int] = {}               # of this message only: the two cells go together
         for cell, count in zip(cells[::2], cells[1::2]):
             if cell >= len(self.sums):
--- /dev/null
+++ b/tests/test_notes.py
@@ -0,0 +1,105 @@
+"""Counts of many senders over a lossy network: what is summed was done, once, and memory does not grow."""
+import unittest
+
+from hypothesis import given, strategies as st
+
+from tealsail.notes import PAST, STARTS, Pool, count_notes, read
+
+SIZE = 12
+
+
+class Sender:
+    """Counts for ever, and starts anew now and then; every note it wrote is kept."""
+
+    def __init__(self, number: int) -> None:
+        self.number, self.born, self.counts = number, 1000 * number, [0] * SIZE
+        self.done = [0] * SIZE                   # over all its starts
+        self.notes: list[tuple[int, bytes]] = []
+
+    def work(self, cell: int, many: int) -> None:
+        self.counts[cell] += many
+        self.done[cell] += many
+
+    def tell(self) -> None:
+        cells = [(cell, count) for cell, count in enumerate(self.counts) if count]
+        self.notes += [(self.number, data) for data in count_notes(7, self.born, 1, 1, cells, SIZE)]
+
+    def restart(self, later: int) -> None:
+        self.tell()                              # a killed one would only have less counted
+        self.born, self.counts = (self.born + later) & 0xFFFFFFFF, [0] * SIZE
+
+
+def add(pool: Pool, sender: int, data: bytes) -> None:
+    figures = read(data)
+    pool.add(sender, figures[1], figures[4:])
+
+
+WORK = st.tuples(st.just("work"), st.integers(0, SIZE - 1), st.integers(1, 200_000))
+STEP = st.one_of(WORK, st.tuples(st.just("tell")), st.tuples(st.just("restart"), st.integers(1, 1 << 32)))
+
+
+class Sums(unittest.TestCase):
+    @given(st.lists(st.tuples(st.integers(0, 2), STEP), max_size=40), st.randoms(use_true_random=False), st.floats(0, 0.6))
+    def test_loss_doubling_and_order_never_count_more_than_was_done(self, steps, chance, loss) -> None:
+        """Notes come at most a restart late; what was lost is made good by the last one that comes through."""
+        senders, pool, way = [Sender(number) for number in range(3)], Pool(SIZE), []
+        starts = 0
+        for who, (what, *figures) in steps:
+            sender = senders[who]
+            if what == "restart" and starts >= PAST:
+                continue
+            starts += what == "restart"
+            getattr(sender, what)(*figures)
+            way += [each for each in sender.notes for _ in range(chance.choice((1, 2))) if chance.random() >= loss]
+            sender.notes = []
+            chance.shuffle(way)
+            while len(way) > 3:
+                add(pool, *way.pop())
+            self.check(pool, senders)
+        for each in way:
+            add(pool, *each)
+        self.check(pool, senders)
+
+    def check(self, pool: Pool, senders: list[Sender]) -> None:
+        for cell, count in enumerate(pool.sums):
+            self.assertLessEqual(count, sum(sender.done[cell] for sender in senders))
+
+    @given(st.lists(st.tuples(st.integers(0, 2), WORK), min_size=1, max_size=30), st.integers(0, 20))
+    def test_once_the_last_notes_come_through_nothing_is_missing(self, steps, restarts) -> None:
+        senders, pool = [Sender(number) for number in range(3)], Pool(SIZE)
+        for place, (who, (_, cell, many)) in enumerate(steps):
+            senders[who].work(cell, many)
+            if place < restarts:
+                senders[who].restart(36_000_000)
+        for sender in senders:
+            sender.tell()
+            for note in sender.notes:
+                add(pool, *note)
+        self.assertEqual(pool.sums, [sum(sender.done[cell] for sender in senders) for cell in range(SIZE)])
+
+    def test_hourly_restarts_for_a_week_and_forged_starts_leave_memory_as_it_was(self) -> None:
+        """Before, every start of every sender was kept for as long as a build was the newest."""
+        pool, senders = Pool(SIZE), [Sender(number) for number in range(20)]
+        for hour in range(168):
+            for sender in senders:
+                sender.work(hour % SIZE, 3)
+                sender.restart(36_000_000)
+                while sender.notes:
+                    add(pool, *sender.notes.pop(0))
+        for forged in range(10_000):
+            pool.add(19, forged * 7_919, (0, 1))
+        self.assertEqual(sum(len(starts) for starts in pool.known.values()), STARTS * 20)
+        self.assertLessEqual(max(len(each) for each in pool.over.values()), PAST)
+        self.assertEqual(pool.sums[5], 20 * 3 * 14)
+
+    def test_a_note_of_a_start_that_is_over_does_not_count_again(self) -> None:
+        pool = Pool(SIZE)
+        for born in (1, 2, 3, 4):
+            pool.add(0, born, (0, 10))
+        pool.add(0, 1, (0, 10))
+        pool.add(0, 3, (0, 12))                  # the one before the last may still tell more
+        self.assertEqual(pool.sums[0], 42)
+
+
+if __name__ == "__main__":
+    unittest.main()
