Judges of thousands of relays hear them in turns, and a flood of notes is shed by sender

Cause: 10,000 relays that tell each second cost a judge a fifth of a core, and a relay gone mad as much as it likes. Change: from 1,000 relays on each tells in its turn, an eighth of them each second at the least, judges always; choices/flood.py takes so many notes a second of a sender and of all, who has told least first; counter peers.shed.

--- /dev/null
+++ b/tealsail/choices/flood.py
@@ -0,0 +1,47 @@
+"""How many notes of other relays are taken: so many a second of each, and of all together.
+
+A note costs a judge some tens of microseconds.  One relay gone mad must neither starve what the judge serves nor push out
+what others tell; where all together tell too much, who has told least of late is heard first.
+"""
+from typing import NamedTuple
+
+SECOND = 10_000                                  # tenths of a ms; all is counted by whole seconds
+CELLS = 30                                       # of a note, at the least (tealsail/notes.py)
+
+
+class Limits(NamedTuple):
+    """Notes a second."""
+    each: int
+    all: int
+
+
+def limits(cells: int, most: int = 4_000) -> Limits:
+    """For counts of so many cells.  Honest relays tell all of them at most twice a second, and a few words besides."""
+    parts = max(1, -(-cells // CELLS))
+    return Limits(4 * parts + 20, max(most, 40 * parts))
+
+
+class Flood:
+    """`allows` says of each note whether it is taken; `counts` is emptied each second, so it has a place at most for each
+    sender that is known."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.second, self.taken = -1, 0
+        self.counts: dict[int, int] = {}
+        self.shed = 0                            # in all
+
+    def allows(self, sender: int, now: int) -> bool:
+        """`now` in tenths of a ms."""
+        second = now // SECOND
+        if second != self.second:
+            self.second, self.taken, self.counts = second, 0, {}
+        count = self.counts.get(sender, 0)
+        # past the half of what all may have, a sender may have an even part; past the whole, a first note only
+        crowded = 2 * self.taken >= self.limits.all and count > self.limits.all // (2 * max(1, len(self.counts)))
+        if count >= self.limits.each or crowded or (self.taken >= self.limits.all and count):
+            self.shed += 1
+            return False
+        self.counts[sender] = count + 1
+        self.taken += 1
+        return True
--- a/tealsail/net/peers.py
+++ b/tealsail/net/peers.py
@@ -3,6 +3,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
+from ..choices.flood import Flood
 from .counters import Counters
 
 LONGEST = 256
@@ -18,16 +19,19 @@
     noisy = False
 
     def __init__(self, addresses: list[str], everyone: str, counters: Counters,
-                 heard: Callable[[int, bytes], None]) -> None:
+                 heard: Callable[[int, bytes], None], flood: Flood, clock: Callable[[], int]) -> None:
         self.addresses = [pair(address) for address in addresses]
         self.numbers = {address: number for number, address in enumerate(self.addresses)}
         self.everyone = pair(everyone) if everyone else None
         self.counters, self.heard = counters, heard
+        self.flood, self.clock = flood, clock
 
     def datagramReceived(self, data: bytes, address: tuple[str, int]) -> None:
         number = self.numbers.get(address)
         if number is None or len(data) > LONGEST:
             self.counters.add("peers.dropped")
+        elif not self.flood.allows(number, self.clock()):
+            self.counters.add("peers.shed")
         else:
             self.counters.add("peers.heard")
             self.heard(number, data)
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -9,6 +9,7 @@
 
 from .. import settings
 from ..choices.clock import Clock, Stamps
+from ..choices.flood import Flood, limits
 from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
                       Step, Units as Listing)
 from .clients import Answer, Clients, Forfeited, Rejected
@@ -138,7 +139,8 @@
         self.discovery = Discovery(reactor, told.discovery, PATH, self.counters, self.listed)
         self.platform = Platform(reactor, told.platform, facts.get("vote_wait", TENTHS) / TENTHS,
                                  self.counters, self.stood, self.counted)
-        self.peers = Peers(told.peers, told.everyone, self.counters, self.heard)
+        self.peers = Peers(told.peers, told.everyone, self.counters, self.heard,
+                           Flood(limits(len(self.facade.relay.judge.pooled.sums))), self.clock)
         self.load_fields = facts.get("load_fields", [])
         self.zones = {name: place for place, name in enumerate(facts.get("zones", []))}
         self.serving: dict[int, Serving] = {}
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -24,6 +24,7 @@
 GROUPS, EDGES = ("canary", "baseline", "before"), (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # served, failed, times in parts of the promise; of each ring
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
+CROWD, THINNEST = 1000, 7                        # relays; they tell each second, or each eighth at the least
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need
 EARLY_MARGIN, EARLY_EXCESS, BRIEF, WIDE = 0.015, 4.0, 4, 3       # over what the baseline explains, in all, in
 # 6 s and, if so many units of the build have failed of late (no one unit's errors), in so many beats; where
@@ -211,7 +212,7 @@
         side = bool(row) and self.relay.on_trial(row[0].build)
         if invocation.luck < self.relay.cold_share[side][invocation.drawn is side]:
             cold = [unit for unit in row if self.relay.warmth(unit) < 1]
-            if cold:                             # else they have warmed since the last weighing, or are in other zones
+            if cold:                             # else warmed since, or in other zones
                 row, few = cold + row, min(few, len(cold))
         fit = (unit for unit in row if self.fit(unit) and unit not in used)
         near = list(islice(fit, few))
@@ -409,7 +410,9 @@
         relay, trial, tell = self.relay, self.relay.trial, self.relay.host.tell
         counts = [count for name in GROUPS for count in trial.groups[name]]     # the canary's first
         pressing = any(counts[each.row][1] > self.told[each.row][1] for each in relay.workloads)
-        if trial.build < 0 or not self.facts["may_tell"] or not (self.beat % 2 or pressing):
+        thin = 1 + min(THINNEST, self.facts["relays"] // CROWD)  # else thousands of relays drown their judges
+        turn = (self.beat // 2 + relay.index) % thin == 0 or self.place <= JUDGES
+        if trial.build < 0 or not self.facts["may_tell"] or not (turn and (self.beat % 2 or pressing)):
             return
         if self.verdict and self.voters > JUDGES and self.sitting():
             tell(-1, verdict_note(relay.build, relay.stage, self.verdict))
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -264,6 +264,23 @@
             lengths.append(len(story.host.of("tell")))
         self.assertEqual(lengths, [4, 4, 4, 8, 8])               # the judges and the next in line
 
+    def test_thousands_of_relays_tell_in_turns_and_judges_at_each_time(self) -> None:
+        """10,000 relays that each tell each second cost a judge a fifth of a core; an eighth of them tells, all in turn."""
+        for relays, index, judges, times in ((999, 5, False, 16), (2500, 5, False, 5), (10_000, 5, False, 2),
+                                             (10_000, 6, False, 2), (10_000, 6, True, 16)):
+            story = Story(relays=relays, index=index)
+            story.trial()
+            judge, told = story.relay.judge, []
+            judge.place = 0 if judges else 30
+            judge.order = [number for number in range(10) if number != index]
+            for beat in range(32):               # sixteen seconds, with new failures all the time
+                judge.beat = beat
+                before = len(story.host.of("tell"))
+                story.relay.trial.groups["canary"][beat % 2 * 2] += 1
+                judge.tell()
+                told.append(len(story.host.of("tell")) > before)
+            self.assertEqual(sum(told), times, (relays, index, judges))
+
     def test_failures_of_the_canary_are_told_each_half_second(self) -> None:
         """Guards against a build that turns bad late and is sent back just after the next one is due."""
         story = Story()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -280,6 +280,9 @@
         self.assertEqual(self.relay.facade.relay.judge.heard, {})
         self.reactor.udp.datagramReceived(note, ("127.0.0.2", 7946))
         self.assertEqual(list(self.relay.facade.relay.judge.heard), [1])
+        for _ in range(1000):                    # a relay gone mad
+            self.reactor.udp.datagramReceived(note, ("127.0.0.2", 7946))
+        self.assertGreater(self.relay.counters.counts["peers.shed"], 900)
         self.assertEqual(self.relay.counters.counts["peers.dropped"], 2)
 
     def test_the_id_of_an_open_invocation_is_an_error_until_that_is_answered(self) -> None:
