A judge hears of canary and baseline failures alike; model judges measures fleets to 10,000

Cause: at half seconds only relays whose canary had failed told; where relays started together a judge of many took 0.3% failures for a third and sent good builds back at once (found by the new study, 400 relays with 20 canary outcomes a second: each time). Change: new failures of the baseline are told at half seconds too; lab/judging.py plays what thousands of relays tell one real judge.

--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -9,7 +9,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from ..lab import costs, fields, fits, imports, losses, runs
+from ..lab import costs, fields, fits, imports, judging, losses, runs
 from ..lab.bars import Bar, Difference
 from ..lab.figures import Result
 from ..lab.scenario import BadScenario, Scenario, read
@@ -27,7 +27,7 @@
     try:
         if chosen["model"]:
             for name, call in (("run", model_run), ("compare", model_compare), ("check", model_check),
-                               ("losses", model_losses), ("cost", model_cost), ("fields", model_fields)):
+                               ("losses", model_losses), ("judges", model_judges), ("cost", model_cost), ("fields", model_fields)):
                 if chosen[name]:
                     return call(chosen, out)
         if chosen["trial"]:
@@ -265,6 +265,36 @@
     return int(any(broken))
 
 
+def heard_cells(each: judging.Heard_Fleet) -> tuple[str, ...]:
+    return f"{each.taken:.0f}", f"{each.sent_bytes:.1f}", f"{each.cpu:.2%}", f"{each.vote} {each.vote_s:.1f} s"
+
+
+def model_judges(chosen: dict[str, Any], out: Console) -> int:
+    with Shown("fleets") as progress:
+        rows = judging.table(progress=progress)
+    lies = judging.lies()
+    for title, pick in (("a good build", lambda row: (row.before, row.after)),
+                        ("a build that fails 5%", lambda row: (row.back_before, row.back_after))):
+        table = Table(title=f"{title}: each tells each second | in turns (notes and bytes a second, CPU of the judge, its vote)")
+        for column in ("relays", *("notes", "bytes a relay", "core", "vote") * 2):
+            table.add_column(column, justify="right")
+        for row in rows:
+            table.add_row(str(row.relays), *(cell for each in pick(row) for cell in heard_cells(each)))
+        out.print(table)
+    table = Table(title="50 relays, a good build, some relays mad (200 notes a second, each a lie): no limit | limit by sender")
+    for column in ("mad", *("notes", "bytes a relay", "core", "vote") * 2):
+        table.add_column(column, justify="right")
+    for mad, free, guarded in lies:
+        table.add_row(str(mad), *heard_cells(free), *heard_cells(guarded))
+    out.print(table)
+    save(chosen["--json"], {"fleets": rows, "lies": lies})
+    if chosen["--chart"]:
+        from ..lab import charts
+        charts.judges(chosen["--chart"], rows)
+        out.print(f"chart: {chosen['--chart']}")
+    return 0
+
+
 def model_cost(chosen: dict[str, Any], out: Console) -> int:
     with Shown("fleets") as progress:
         tables = costs.tables(progress)
--- a/tealsail/command/main.py
+++ b/tealsail/command/main.py
@@ -17,6 +17,7 @@
   tealsail model check A B [--replicas=N] [--repeats=N] [--at-once=N] [--jobs=N] [--json=FILE] [--chart=FILE]
                            [--keep=DIR]
   tealsail model losses OPTION... [--replicas=N] [--jobs=N] [--json=FILE] [--chart=FILE]
+  tealsail model judges [--json=FILE] [--chart=FILE]
   tealsail model cost [--json=FILE] [--chart=FILE]
   tealsail model fields
   tealsail trial SCENARIO [--seed=N] [--record=FILE] [--json=FILE] [--chart=FILE] [--logs=DIR]
@@ -37,6 +38,7 @@
                  Exit code 1 if one does not.
   model losses   What the faults of a script cost: each option with its script and without, on the same days; the
                  last option against each of the others.
+  model judges   What a judge of 50 to 10,000 relays hears, what that costs and when it votes; and with mad relays.
   model cost     What the model costs for more relays and more units.
   model fields   Every field of a scenario: type, bounds, default.
   trial          Play a scenario for real: relay processes on loopback addresses.
--- a/tealsail/lab/charts.py
+++ b/tealsail/lab/charts.py
@@ -10,6 +10,7 @@
 
 from .bars import student  # noqa: E402
 from .figures import PARTS, Result  # noqa: E402
+from .judging import Row  # noqa: E402
 from .runs import Option  # noqa: E402
 
 COLOURS = ("#2458a6", "#c2501e", "#3c8031", "#7a3b93")
@@ -125,3 +126,26 @@
     figure.tight_layout()
     figure.savefig(path, dpi=110)
     pyplot.close(figure)
+
+
+def judges(path: Path | str, rows: Sequence[Row]) -> None:
+    """What a judge hears, what it costs, and time to its vote, by fleet size: told each second, and in turns."""
+    figure, axes = pyplot.subplots(1, 3, figsize=(14, 4))
+    sizes = [row.relays for row in rows]
+    for axis, text, value in ((axes[0], "notes a second at the judge", lambda each: each.taken),
+                              (axes[1], "bytes a second sent by a relay", lambda each: each.sent_bytes),
+                              (axes[2], "seconds to the vote", lambda each: each.vote_s)):
+        axis.plot(sizes, [value(row.before) for row in rows], "o--", color=COLOURS[1], label="each second, good build")
+        axis.plot(sizes, [value(row.after) for row in rows], "o-", color=COLOURS[0], label="in turns, good build")
+        if axis is axes[2]:
+            axis.plot(sizes, [value(row.back_before) for row in rows], "s--", color=COLOURS[3], label="each second, fails 5%")
+            axis.plot(sizes, [value(row.back_after) for row in rows], "s-", color=COLOURS[2], label="in turns, fails 5%")
+        axis.set_xscale("log")
+        axis.set_xlabel("relays")
+        axis.set_ylabel(text)
+        axis.set_ylim(bottom=0)
+        axis.grid(alpha=0.3)
+        axis.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -406,10 +406,12 @@
 
     def tell(self) -> None:
         """Cumulative counts to the judges and the next in line: each second what is new, every fourth time
-        all; the canary's new failures each half: what turns bad late must go before the next build is due."""
+        all; new failures each half: what turns bad late must go before the next build is due.  The baseline's
+        too: else a judge of many hears first of whoever saw the canary fail, and sends a good build back."""
         relay, trial, tell = self.relay, self.relay.trial, self.relay.host.tell
         counts = [count for name in GROUPS for count in trial.groups[name]]     # the canary's first
-        pressing = any(counts[each.row][1] > self.told[each.row][1] for each in relay.workloads)
+        matched = 2 * len(trial.lately)          # cells of canary and baseline
+        pressing = any(counts[at] > self.told[at] for at in range(1, matched, ROW))
         thin = 1 + min(THINNEST, self.facts["relays"] // CROWD)  # else thousands of relays drown their judges
         turn = (self.beat // 2 + relay.index) % thin == 0 or self.place <= JUDGES
         if trial.build < 0 or not self.facts["may_tell"] or not (turn and (self.beat % 2 or pressing)):
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -4,7 +4,11 @@
 from hypothesis import given, strategies as st
 
 from tealsail.choices.flood import SECOND, Flood, Limits, limits
+from tealsail.lab.judging import Fleet, heard
 from tealsail.notes import PAST, STARTS, Pool, count_notes, read
+from tealsail.policy import GROUPS, JUDGES, ROW
+
+from .fake import Story
 
 SIZE = 12
 
@@ -138,5 +142,45 @@
             self.assertLessEqual(2 * len(count_notes(7, 1, 1, 1, counts, cells)) + 12, limits(cells).each)
 
 
+class Judges(unittest.TestCase):
+    """One judge of a large fleet, with what the others tell played as the module has them tell it."""
+
+    def test_in_turns_a_judge_of_thousands_hears_less_and_votes_no_later(self) -> None:
+        for errors, vote in ((0.003, "on"), (0.05, "back")):
+            each, turns = (heard(2_000, 1.0, errors, thinned=thinned) for thinned in (False, True))
+            self.assertEqual((each.vote, turns.vote), (vote, vote))
+            self.assertLessEqual(turns.vote_s, each.vote_s + 0.5)
+            self.assertLess(turns.taken, 0.5 * each.taken)
+
+    def test_a_good_build_of_a_busy_fleet_is_not_sent_back_by_who_tells_first(self) -> None:
+        """Relays that started together tell in the same half seconds; in those between only relays whose canary had failed
+        told, so a judge heard of 0.3% failures as of a third."""
+        for relays, rate in ((400, 20.0), (1_000, 20.0), (10_000, 4.0)):
+            before, now = (heard(relays, rate, 0.003, thinned=False, matched=matched, seconds=8, together=True)
+                           for matched in (False, True))
+            self.assertEqual((before.vote, now.vote), ("back", "on"), (relays, rate))
+
+    def test_what_is_played_is_told_as_the_module_tells_it(self) -> None:
+        """The same counts through a relay's own judge: the same notes at the same beats."""
+        fleet = Fleet(40, 5.0, 0.1, 3)
+        story = Story(relays=40, index=7)
+        story.trial()
+        judge = story.relay.judge
+        judge.place = 30
+        for beat in range(12):
+            fleet.work(0.5)
+            for group, name in enumerate(GROUPS):
+                story.relay.trial.groups[name] = [int(each) for each in fleet.counts[7, group * ROW:(group + 1) * ROW]]
+            before, judge.beat = len(story.host.of("tell")), beat
+            judge.tell()
+            told = [read(data)[4:] for _, data in story.host.of("tell")[before:]]
+            self.assertEqual(told, [read(data)[4:] for data in fleet.notes(7, beat, 1) for _ in range(JUDGES + 1)])
+
+    def test_a_mad_relay_costs_a_judge_no_more_than_its_part(self) -> None:
+        free, guarded = (heard(20, 10.0, 0.003, mad=1, lies=2_000, guarded=guarded, seconds=4) for guarded in (False, True))
+        self.assertGreater(free.taken, 1_000)
+        self.assertLess(guarded.taken, 100)
+
+
 if __name__ == "__main__":
     unittest.main()
