--- a/tealsail/lab/judging.py
+++ b/tealsail/lab/judging.py
@@ -74,14 +74,15 @@
 
 def heard(relays: int, rate: float, errors: float, seed: int = 1, thinned: bool = True, mad: int = 0, lies: int = 200,
           guarded: bool = True, seconds: int = SECONDS, matched: bool = True,
-          together: bool = False) -> Heard_Fleet:
+          together: bool = False, lasting: bool = False, turns: tuple[float, float] = (1e9, 0.0)) -> Heard_Fleet:
     """`rate`: outcomes a second of canary and of baseline at each relay; `mad` relays tell `lies` notes a second that the
     canary fails, each of another start.  `together`: all relays started in the same half second, so they tell in the same.
-    The day ends with the vote."""
+    `lasting`: the build has been released, its units all fail a little as the judge itself sees them, and the day ends with a
+    vote back only; else with any vote.  `turns`: from that second on the canary fails with that share."""
     now, index = START, judge_of(relays)
     facts = scenario(relays, UNITS).facts(index)
     facade = Facade(facts, seed, lambda: now)
-    facade.report(Standing(2, 0, "on trial", 0.2, 0))
+    facade.report(Standing(2, 0, "released" if lasting else "on trial", 1.0 if lasting else 0.2, 0))
     facade.report(Units("whole", [Listed(unit, 2 if unit < ON_TRIAL_UNITS else 1, "open", 0, 0, 1.0, START - 20 * TENTHS)
                                   for unit in range(UNITS)]))
     fleet, flood = Fleet(relays, rate, errors, seed), Flood(limits(len(facade.relay.judge.pooled.sums)))
@@ -92,6 +93,8 @@
     spent, vote, vote_s = 0.0, "none", -1.0
     for beat in range(2 * seconds):
         now += BEAT
+        if now - START > turns[0] * TENTHS:
+            fleet.errors = turns[1]
         fleet.work(BEAT / TENTHS)
         mail = [(relay, data) for relay in senders[mad:]
                 for data in fleet.notes(relay, beat + (0 if together else mix(relay, 5) % 2), thin, matched)]
@@ -108,7 +111,9 @@
                 facade.report(Heard(relay, data))
         spent += time.process_time() - before
         come += len(mail)
-        votes = facade.tick().votes
+        for unit in facade.relay.units.values() if lasting else ():
+            unit.failing = max(unit.failing, 0.01)
+        votes = [each for each in facade.tick().votes if not lasting or each.verdict == "back"]
         if votes:
             vote, vote_s = votes[0].verdict, (now - START) / TENTHS
             break
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -1,6 +1,6 @@
 """What the decision module is made of: chance, sums over time, the rank test's sums, what is known of units,
 invocations and their shots, and the links of the chain.  Nothing is decided here."""
-from math import sqrt
+from math import log, sqrt
 from typing import Any
 
 
@@ -111,11 +111,16 @@
 
 
 def beyond(canary: list[list[int]], others: list[list[int]]) -> float:
-    """By how many standard deviations the canary's failures, all rows', exceed their even share of all."""
+    """By how much the canary's failures, all rows', exceed their even share of all, on the scale of standard deviations:
+    the signed root of the likelihood ratio, which keeps to it where failures are few (five for half of one expected are
+    3.7, and not 6.4: by chance one in some thousands, of looks that are many).  Source: Barndorff-Nielsen and Cox,
+    Inference and Asymptotics, 1994."""
     (n, bad), (m, rest) = ([sum(row[at] for row in group) for at in (0, 1)] for group in (canary, others))
-    share = (n + bad) / (n + bad + m + rest or 1)
-    spread = (bad + rest) * share * (1 - share)
-    return (bad - (bad + rest) * share) / sqrt(spread) if spread else 0.0
+    even = (bad + rest) * (n + bad) / (n + bad + m + rest or 1)
+    if not 0 < even < bad + rest:
+        return 0.0
+    ratio = sum(seen * log(seen / due) for seen, due in ((bad, even), (rest, bad + rest - even)) if seen)
+    return sqrt(max(0.0, 2 * ratio)) * (1 if bad > even else -1)
 
 
 def surplus(pool: list, latest: list) -> float:
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -2,7 +2,7 @@
 and calls `on_...`.  `facts` is a plain map (names: tealsail/settings.py); times are tenths of a ms."""
 from collections import defaultdict
 from itertools import chain, islice
-from math import erfc, sqrt
+from math import erfc, log, sqrt
 from typing import Any
 from zlib import crc32
 
@@ -28,7 +28,8 @@
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need
 EARLY_MARGIN, EARLY_EXCESS, BRIEF, WIDE = 0.015, 4.0, 4, 3       # over what the baseline explains, in all, in
 # 6 s and, if so many units of the build have failed of late (no one unit's errors), in so many beats; where
-BROAD, BEYOND = 4, 2.8                           # one in so many has: standard deviations beyond chance
+BROAD, BEYOND, STEADY = 4, 2.8, 5 * SECOND       # one in so many has: standard deviations beyond chance, more
+# of them the longer a build is looked at: else, of looks twice a second, chance alone passes within minutes
 SLOWER, UNEVEN, REJECT_AT, LEAST = 1.6, 0.3, 0.01, 20        # medians' ratio, for few units, level, outcomes
 ALL_SLOWER, ALSO_SLOWER = 1.5, 1.2       # over before: earlier units, by traffic's rise squared; canary
 HORIZON, PATIENCE = 3 * SECOND + SECOND // 4, 5 * SECOND      # after the newest listed start; and if thin
@@ -389,6 +390,7 @@
         self.pooled = Pool(len(GROUPS) * len(self.relay.trial.lately))       # what the others told
         self.heard: dict[int, tuple[int, int, int]] = {}         # sender -> when, taken of late, and before
         self.past: list[Any] = [None] * 12       # the pool in the latest six seconds
+        self.begun = self.relay.now
         self.draw()
 
     def draw(self) -> None:
@@ -492,9 +494,10 @@
         before, thin = self.verdict, sum(row[0] + row[1] for row in pooled[0]) < LEAST
         heard = sum(relay.now - at < 2 * FRESH for at, _, _ in self.heard.values())
         deaf = self.facts["may_tell"] and 2 * heard + 1 < self.facts["relays"]  # then what is thin was lost
+        looks = 2 * log(max(1.0, (relay.now - self.begun) / STEADY))
         # Departure: fewer failures, beyond chance and on a quarter of its units: a build that turns bad late
         if known and (any(self.fails(each, pooled[1]) for each in (pooled[0], recent[0], brief[0])[:2 + wide])
-                      or broad > max(len(seen), 8) and surplus(pooled, brief) > BEYOND):
+                      or broad > max(len(seen), 8) and surplus(pooled, brief) > sqrt(BEYOND ** 2 + looks)):
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             known = not thin or (relay.now >= self.due() + PATIENCE and not deaf)
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -6,6 +6,7 @@
 from tealsail.choices.flood import SECOND, Flood, Limits, limits
 from tealsail.lab.judging import Fleet, heard
 from tealsail.notes import PAST, STARTS, Pool, count_notes, read
+from tealsail.parts import beyond
 from tealsail.policy import GROUPS, JUDGES, ROW
 
 from .fake import Story
@@ -160,6 +161,22 @@
                            for matched in (False, True))
             self.assertEqual((before.vote, now.vote), ("back", "on"), (relays, rate))
 
+    def test_a_good_build_whose_units_all_fail_a_little_stays_and_one_that_turns_bad_goes(self) -> None:
+        """Each half second a judge asks whether failures are beyond chance: at one fixed level chance alone passes within
+        minutes (each of 36 such builds within ten).  The level rises with the looks, and few failures weigh as few."""
+        back = [heard(5, 40.0, 0.003, seed, lasting=True, seconds=300).vote for seed in range(6)].count("back")
+        self.assertLessEqual(back, 1)
+        for seed in range(3):
+            found = heard(5, 40.0, 0.003, seed, lasting=True, seconds=200, turns=(120.0, 0.03))
+            self.assertTrue(120 < found.vote_s < 130, found)
+
+    def test_few_failures_are_no_normal_sample(self) -> None:
+        rare = beyond([[95, 5]], [[99_000, 950]])
+        self.assertAlmostEqual(rare, 3.0, delta=0.1)             # 4.1 by the usual formula; the exact tail is 0.003
+        self.assertAlmostEqual(beyond([[900, 100]], [[980, 20]]), 7.6, delta=0.4)    # many: as the usual formula has it
+        self.assertAlmostEqual(beyond([[980, 20]], [[900, 100]]), -7.6, delta=0.4)
+        self.assertEqual((beyond([[10, 0]], [[10, 0]]), beyond([[0, 0]], [[10, 3]])), (0.0, 0.0))
+
     def test_what_is_played_is_told_as_the_module_tells_it(self) -> None:
         """The same counts through a relay's own judge: the same notes at the same beats."""
         fleet = Fleet(40, 5.0, 0.1, 3)
