--- a/tealsail/choices/clock.py
+++ b/tealsail/choices/clock.py
@@ -20,14 +20,14 @@
     def __init__(self, steady: Callable[[], float], wall: Callable[[], float],
                  woke: Callable[[float], Any] | None = None) -> None:
         self.steady, self.wall, self.woke = steady, wall, woke
-        self.zero, self.base, self.last = steady(), wall(), 0
+        self.zero, self.base, self.last = steady(), int(wall() * TENTHS), 0  # a float of Unix time is too coarse to add to
         self.ran = self.zero                     # when something last ran, for all that is known
         self.ahead = 0.0                         # of the wall clock over even time, in seconds
 
     def __call__(self) -> int:
         steady = self.steady()
         gap, self.ran = steady - self.ran, steady
-        self.last = max(self.last, int((self.base + steady - self.zero) * TENTHS))
+        self.last = max(self.last, self.base + int((steady - self.zero) * TENTHS + 0.01))
         if gap > GAP and self.woke:
             self.woke(gap)
         return self.last
@@ -36,7 +36,7 @@
         """By how many seconds the wall clock has stepped ahead since the last look (below zero: back), 0 for not; call it
         about once a second."""
         self()
-        ahead = self.wall() - (self.base + self.ran - self.zero)
+        ahead = self.wall() - self.base / TENTHS - (self.ran - self.zero)
         step, self.ahead = ahead - self.ahead, ahead
         return step if abs(step) > STEP else 0.0
 
