A judge holds the latest minute against all before: slow faults after hours are seen

Cause: two seconds hold too few failures of a slow fault, all since the start drown them. Change: twelve pools five seconds apart beside the six seconds' ring; the same test on them.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -389,7 +389,8 @@
     def new_build(self) -> None:
         self.pooled = Pool(len(GROUPS) * len(self.relay.trial.lately))       # what the others told
         self.heard: dict[int, tuple[int, int, int]] = {}         # sender -> when, taken of late, and before
-        self.past: list[Any] = [None] * 12       # the pool in the latest six seconds
+        self.past: list[Any] = [None] * 12       # the pool in the latest six seconds, and in the latest minute
+        self.slow: list[Any] = [None] * 12
         self.begun = self.relay.now
         self.draw()
 
@@ -488,6 +489,9 @@
         relay, size, pooled = self.relay, len(self.past), self.pool()
         recent, brief = (gained(pooled, self.past[at % size]) for at in (self.beat, self.beat - BRIEF))
         self.past[self.beat % size] = pooled
+        if not self.beat % 10:
+            self.slow[self.beat // 10 % size] = pooled
+        minute = gained(pooled, self.slow[(self.beat // 10 + 1) % size])
         seen = [unit.failing for unit in relay.units.values() if unit.build == relay.build]
         wide, broad = sum(each > 0.03 for each in seen) >= WIDE, BROAD * sum(each > 0.002 for each in seen)
         known = sum(row[0] + row[1] for row in pooled[1]) >= LEAST // 2    # else nothing to be held against
@@ -497,7 +501,8 @@
         looks = 2 * log(max(1.0, (relay.now - self.begun) / STEADY))
         # Departure: fewer failures, beyond chance and on a quarter of its units: a build that turns bad late
         if known and (any(self.fails(each, pooled[1]) for each in (pooled[0], recent[0], brief[0])[:2 + wide])
-                      or broad > max(len(seen), 8) and surplus(pooled, brief) > sqrt(BEYOND ** 2 + looks)):
+                      or broad > max(len(seen), 8) and
+                      max(surplus(pooled, each) for each in (brief, minute)) > sqrt(BEYOND ** 2 + looks)):
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             known = not thin or (relay.now >= self.due() + PATIENCE and not deaf)
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -170,6 +170,12 @@
             found = heard(5, 40.0, 0.003, seed, lasting=True, seconds=200, turns=(120.0, 0.03))
             self.assertTrue(120 < found.vote_s < 130, found)
 
+    def test_a_slow_fault_after_a_quarter_of_an_hour_is_seen_within_a_minute(self) -> None:
+        """Two seconds hold too few failures, and all since the start drown them: the latest minute tells."""
+        for seed in range(2):
+            found = heard(5, 40.0, 0.003, seed, lasting=True, seconds=1_000, turns=(900.0, 0.012))
+            self.assertTrue(900 < found.vote_s < 960, found)
+
     def test_few_failures_are_no_normal_sample(self) -> None:
         rare = beyond([[95, 5]], [[99_000, 950]])
         self.assertAlmostEqual(rare, 3.0, delta=0.1)             # 4.1 by the usual formula; the exact tail is 0.003
