--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -62,6 +62,18 @@
         self.assertIn("error", {line.outcome for line in self.of(lines, Came)})
         self.assertEqual(len(self.of(lines, End)), len(self.of(lines, Take)))
 
+    def test_real_relays_in_three_zones_one_of_which_is_lost_and_comes_back(self) -> None:
+        result, lines, _ = self.play(
+            seconds=12, fleet={"relays": 3, "units": 6, "zones": ["a", "b", "c"], "notice_ms": 500}, clients={"rate": 90},
+            builds={"offered_s": 900}, document={"zones": {"wait_ms": 200.0, "step_ms": 300.0}},
+            script="at 3s lose zone b for 3s")
+        self.assertEqual(result.breaches, {})    # the stated limit on spill among them
+        self.assertGreater(result.figures["service.zone.b"], 0.8)
+        self.assertGreater(min(result.figures[f"service.zone.{zone}"] for zone in "ac"), 0.95)
+        out = result.series["shots.b>a"], result.series["shots.b>c"]
+        self.assertGreater(min(sum(each) for each in out), 10)
+        self.assertGreater(sum(result.series["shots.b>b"][10:]), 20)
+
     def test_a_build_that_fails_only_above_some_busyness_and_one_that_turns_bad_with_its_units_age(self) -> None:
         for builds, rate in (({"errors": 0.6, "above": 1.4}, 400), ({"errors": 0.6, "turns_s": [2, 3]}, 120)):
             result, lines, _ = self.play(seconds=11, builds=builds | {"offered_s": 0.5}, clients={"rate": rate},
