--- a/tealsail/choices/tiers.py
+++ b/tealsail/choices/tiers.py
@@ -19,10 +19,10 @@
     span: int = 20_000                           # of the shares
     memory: int = 6_000_000                      # half-life of what is usual
     first: float = 0.1                           # of the way back: where it begins, and how it goes on
-    step: int = 10_000
+    step: int = 5_000
     least: int = 5                               # answers in time that a step needs
     late_part: float = 0.1                       # more late or failed answers than this turn it back
-    wait: int = 10_000                           # before a way back begins; twice as long for each flap
+    wait: int = 5_000                            # before a way back begins; twice as long for each flap
     longest_wait: int = 600_000
     calm: int = 300_000                          # a zone that stayed for so long has not flapped
 
--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -14,7 +14,7 @@
 IN_TIME = ("served", "full", "moot")             # if they come before they are late
 MISSED = ("unreachable", "reset", "timeout")
 GONE = 0.5                                       # under so much of what is usual, against the best zone: lost
-UNANSWERED = 5                                   # misses in a row, with no answer between: out of reach
+UNANSWERED, DOUBTFUL = 5, 2                      # misses in a row, with no answer between: out of reach; in trouble
 FEW = 5                                          # answers and misses that a share of them needs
 PROBE, SELDOM = 5_000, 3                         # tenths of a ms between looks at a zone that is out; doubled so often
 LATE = 0.8                                       # of the promise
@@ -110,13 +110,18 @@
         if word is None:
             return self.hear_on(sender, data)
         self.hearsay.add(sender, word, self.relay.now)
-        if self.zones[self.own].alone:           # whether others of its zone are in the same trouble decides its room
+        if self.alone():                         # whether others of its zone are in the same trouble decides its room
             self.weigh()
 
+    def alone(self) -> bool:
+        """In trouble with its own zone, by what it sees itself and not by the list."""
+        zone = self.zones[self.own]
+        return zone.alone or zone.row_of_misses >= DOUBTFUL
+
     def tell(self) -> None:
         """What was seen of late, while there is trouble, to a few relays drawn anew each time."""
         relay, now, facts = self.relay, self.relay.now, self.relay.facts
-        trouble = any(zone.unreached or zone.back.state != UP for zone in self.zones.values())
+        trouble = self.alone() or any(zone.unreached or zone.back.state != UP for zone in self.zones.values())
         if not facts["may_tell"] or not (trouble or self.hearsay.alert(now)):
             return
         rows = []
@@ -128,7 +133,7 @@
                 rows.append(Seen(zone.place, max(0, answered - late), late, missed))
         if not rows and not trouble:
             return
-        data, others = encode(Word(self.own, trouble, self.zones[self.own].alone, tuple(rows))), facts["relays"] - 1
+        data, others = encode(Word(self.own, trouble, self.alone(), tuple(rows))), facts["relays"] - 1
         for _ in range(min(LISTENERS, others)):
             to = int(self.chance.share() * others)
             self.counts["told"] += 1
@@ -139,7 +144,8 @@
         now, zones = self.relay.now, list(self.zones.values())
         part = {zone.place: zone.listed / zone.usual if zone.usual else 0.0 for zone in zones}
         best, doubts = max(part.values()), self.hearsay.doubts()
-        troubled = self.hearsay.troubled(self.own, self.zones[self.own].alone)
+        alone = self.alone()
+        troubled = self.hearsay.troubled(self.own, alone)
         views = {}
         for zone in zones:
             answered, missed = zone.answered.total(now), zone.missed.total(now)
@@ -161,7 +167,7 @@
         self.out = sum(zone.unreached or zone.doubted for zone in zones)
         self.nearest = min([zone.tier for zone in zones if zone.usual], default=0)
         self.keep, self.room = split(self.order, views, {zone: each.level for zone, each in self.gives.items()},
-                                     self.zoning, troubled.get(self.own, 1.0) if self.zones[self.own].alone else 1.0)
+                                     self.zoning, troubled.get(self.own, 1.0) if alone else 1.0)
         home = self.having[0][self.nearest]
         whole = len(home) == 1 and not self.out and not self.relay.rows[1] and self.keep[self.nearest] >= 1
         self.home = home[0] if whole and home[0].able > 0 else None
@@ -303,6 +309,9 @@
             zone.back.lost(self.relay.now)
             self.weigh()
             self.tell()
+        elif zone.row_of_misses == DOUBTFUL and zone.place == self.own and zone.back.state == UP:
+            self.weigh()                         # until it is out of reach for sure what failed there needs room elsewhere
+            self.tell()
 
     def learn(self, zone: Zone, outcome: str, late: bool) -> None:
         if zone.tier > self.nearest:
--- a/tealsail/setup/document.py
+++ b/tealsail/setup/document.py
@@ -44,10 +44,10 @@
     span_ms: Milliseconds = 2_000.0
     memory_s: Annotated[float, Meta(ge=1, le=1e6)] = 600.0
     first: Annotated[float, Meta(gt=0, le=1)] = 0.1
-    step_ms: Milliseconds = 1_000.0
+    step_ms: Milliseconds = 500.0
     least: Annotated[int, Meta(ge=1, le=10_000)] = 5
     late_part: Part = 0.1
-    wait_ms: Milliseconds = 1_000.0
+    wait_ms: Milliseconds = 500.0
     longest_wait_ms: Milliseconds = 60_000.0
     calm_ms: Milliseconds = 30_000.0
 
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -128,8 +128,11 @@
         self.assertGreater(sum(load[50:]) / 150, 0.8)
 
 
+SLOWLY = RULES._replace(step=SECOND, wait=SECOND)
+
+
 class Ways(unittest.TestCase):
-    def back(self, rules: Zoning = RULES, flaps: int = 0, luck: float = 0.5) -> tuple[Returning, int]:
+    def back(self, rules: Zoning = SLOWLY, flaps: int = 0, luck: float = 0.5) -> tuple[Returning, int]:
         zone, now = Returning(rules, luck), 0
         zone.lost(now)
         zone.flaps = flaps
@@ -173,7 +176,7 @@
         self.assertEqual((down[-1], zone.state), (RULES.first, RAMP))
 
     def test_a_zone_that_flaps_waits_longer_each_time_with_a_bound_and_a_calm_one_is_forgiven(self) -> None:
-        zone, now, waits = Returning(RULES, 0.5), 10 * SECOND * 100, []
+        zone, now, waits = Returning(SLOWLY, 0.5), 10 * SECOND * 100, []
         for _ in range(9):
             zone.lost(now)
             zone.there(now)
