--- a/tealsail/lab/judging.py
+++ b/tealsail/lab/judging.py
@@ -131,10 +131,10 @@
 
 
 def table(fleets: tuple[int, ...] = FLEETS, rate: float = 2.0, progress: Callable[[int, int], None] | None = None) -> list[Row]:
-    """A good build and one that fails 5%, by fleet size."""
+    """A good build and one that fails 5%, by fleet size; the relays started together."""
     rows = []
     for place, relays in enumerate(fleets):
-        rows.append(Row(relays, *(heard(relays, rate, errors, thinned=now, matched=now)
+        rows.append(Row(relays, *(heard(relays, rate, errors, thinned=now, matched=now, together=True)
                                   for errors in (0.003, 0.05) for now in (False, True))))
         if progress:
             progress(place + 1, len(fleets))
