--- a/tealsail/lab/bars.py
+++ b/tealsail/lab/bars.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 LEVEL = 0.95
-HIGHER = ("service", "within", "released")       # better if more; what is not listed here is better if less
+HIGHER = ("service", "within", "released", "lowest")       # better if more; what is not listed here is better if less
 NEUTRAL = ("at_trial", "shots", "released_s", "back_s")
 
 
@@ -58,7 +58,7 @@
 
 def bounded(name: str) -> bool:
     """Whether a figure is a share."""
-    return not any(word in name for word in ("_ms", "_s.", "shots", "spill_peak", "overshoot", "back_s", "out_s"))
+    return not any(word in name for word in ("_ms", "_s.", "shots", "spill_peak", "overshoot", "recover_s", "out_s"))
 
 
 def bar(name: str, values: list[float], level: float = LEVEL) -> Bar:
--- a/tealsail/lab/judging.py
+++ b/tealsail/lab/judging.py
@@ -62,7 +62,8 @@
         if not ((beat // 2 + relay) % thin == 0 and (beat % 2 or pressing)):
             return []
         whole = (beat // 2 + relay) % 4 == 0
-        cells = [(int(cell), int(counts[cell])) for cell in numpy.flatnonzero(counts if whole else counts != told)]
+        changed = numpy.repeat((counts != told).reshape(-1, ROW).any(axis=1), ROW)
+        cells = [(int(cell), int(counts[cell])) for cell in numpy.flatnonzero(counts * (changed | whole))]
         self.told[relay] = counts
         return count_notes(2, START, 100, 100, cells, len(counts)) if cells else []
 
@@ -74,17 +75,25 @@
 
 def heard(relays: int, rate: float, errors: float, seed: int = 1, thinned: bool = True, mad: int = 0, lies: int = 200,
           guarded: bool = True, seconds: int = SECONDS, matched: bool = True,
-          together: bool = False, lasting: bool = False, turns: tuple[float, float] = (1e9, 0.0)) -> Heard_Fleet:
+          together: bool = False, lasting: bool = False, turns: tuple[float, float] = (1e9, 0.0),
+          restart: float = 1e9, lost: tuple[float, float] = (1e9, 1e9)) -> Heard_Fleet:
     """`rate`: outcomes a second of canary and of baseline at each relay; `mad` relays tell `lies` notes a second that the
     canary fails, each of another start.  `together`: all relays started in the same half second, so they tell in the same.
     `lasting`: the build has been released, its units all fail a little as the judge itself sees them, and the day ends with a
-    vote back only; else with any vote.  `turns`: from that second on the canary fails with that share."""
+    vote back only; else with any vote.  `turns`: from that second on the canary fails with that share.  `restart`: at that second the
+    judge starts anew and knows nothing of what was told; `lost`: between these seconds no note comes."""
     now, index = START, judge_of(relays)
     facts = scenario(relays, UNITS).facts(index)
-    facade = Facade(facts, seed, lambda: now)
-    facade.report(Standing(2, 0, "released" if lasting else "on trial", 1.0 if lasting else 0.2, 0))
-    facade.report(Units("whole", [Listed(unit, 2 if unit < ON_TRIAL_UNITS else 1, "open", 0, 0, 1.0, START - 20 * TENTHS)
-                                  for unit in range(UNITS)]))
+
+    def started() -> Facade:
+        """As a relay starts: from the list and where the build stands."""
+        facade = Facade(facts, seed, lambda: now)
+        facade.report(Standing(2, 0, "released" if lasting else "on trial", 1.0 if lasting else 0.2, now - START))
+        facade.report(Units("whole", [Listed(unit, 2 if unit < ON_TRIAL_UNITS else 1, "open", 0, 0, 1.0, START - 20 * TENTHS)
+                                      for unit in range(UNITS)]))
+        return facade
+
+    facade, anew = started(), False
     fleet, flood = Fleet(relays, rate, errors, seed), Flood(limits(len(facade.relay.judge.pooled.sums)))
     thin = 1 + min(THINNEST, relays // CROWD) if thinned else 1
     senders = [relay for relay in range(relays) if relay != index]
@@ -102,6 +111,10 @@
         for relay in liars:
             mail += [(relay, data) for lie in range(lies // 2) for data in count_notes(
                 2, mix(seed, beat, lie, relay) & 0xFFFFFFFF, 100, 100, [(FAILED, 40)], fleet.counts.shape[1])]
+        if not anew and now - START >= restart * TENTHS:
+            facade, anew = started(), True
+        if lost[0] * TENTHS <= now - START < lost[1] * TENTHS:
+            mail = []
         order = fleet.chance.permutation(len(mail))
         before = time.process_time()
         for place in order:
--- a/tealsail/lab/losses.py
+++ b/tealsail/lab/losses.py
@@ -34,7 +34,7 @@
 def figures(hit: Result, calm: Result, at: int, lost: set[str]) -> dict[str, float]:
     """`at`: the second of the first fault; `lost`: zones that it takes.
 
-    back_s: until service is within WITHIN of the undisturbed day's and stays for STAYS seconds; out_s: all seconds from
+    recover_s: until service is within WITHIN of the undisturbed day's and stays for STAYS seconds; out_s: all seconds from
     the fault on in which it is not; cost: payoff given away from the fault on, over payoff asked; overshoot: the most
     that a zone that is not lost was sent in WINDOW seconds, over its mean on the undisturbed day.
     """
@@ -45,7 +45,7 @@
     asked = numpy.array(hit.series["asked"][at:most])
     gap = numpy.array(calm.series["service"][at:most]) - numpy.array(hit.series["service"][at:most])
     found = {"service": hit.figures["service"], "cost": float((gap * asked).sum() / (asked.sum() or 1)),
-             "back_s": float(back), "out_s": float(out.sum()), "lowest": float(with_it[at:].min(initial=1.0))}
+             "recover_s": float(back), "out_s": float(out.sum()), "lowest": float(with_it[at:].min(initial=1.0))}
     found |= {name: hit.figures[name] for name in ("late", "rejected", "forfeited", "shots") if name in hit.figures}
     sent, usual = shots_to(hit), shots_to(calm)
     over_all = [0.0]
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -422,8 +422,9 @@
         if self.verdict and self.voters > JUDGES and self.sitting():
             tell(-1, verdict_note(relay.build, relay.stage, self.verdict))
         whole = (self.beat // 2 + relay.index) % 4 == 0
-        cells = [(cell, count) for cell, (count, told) in enumerate(zip(counts, self.told))
-                 if count and (whole or count != told)]
+        cells = [(cell, counts[cell]) for row in range(0, len(counts), ROW)      # a row as a whole: after lost
+                 if whole or counts[row:row + ROW] != self.told[row:row + ROW]   # notes served must not be told
+                 for cell in range(row, row + ROW) if counts[cell]]      # without what failed or came late
         self.told = counts
         for data in count_notes(trial.build, relay.born, relay.admission.lately(), trial.taken_before, cells,
                                 len(counts)):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -402,16 +402,16 @@
         calm = self.day([1.0] * 40, to_a=0.0)
         hit = self.day([1.0] * 10 + [0.4] * 6 + [1.0] * 8 + [0.7] * 4 + [0.99] * 12)
         found = losses.figures(hit, calm, 10, {"b"})
-        self.assertEqual(found["back_s"], 7)     # the mean of three seconds is whole one second later
+        self.assertEqual(found["recover_s"], 7)  # the mean of three seconds is whole one second later
         self.assertEqual(found["out_s"], 7 + 6)
         self.assertAlmostEqual(found["cost"], (6 * 0.6 + 4 * 0.3 + 12 * 0.01) / 30)
         self.assertAlmostEqual(found["lowest"], 0.4)
         self.assertAlmostEqual(found["overshoot"], 2.0)          # a gets b's ten on top of its own; b itself is lost
-        self.assertEqual(losses.figures(calm, calm, 10, {"b"})["back_s"], 0)
+        self.assertEqual(losses.figures(calm, calm, 10, {"b"})["recover_s"], 0)
 
-    def test_a_day_that_never_comes_back_says_so(self) -> None:
+    def test_a_day_that_never_recovers_says_so(self) -> None:
         found = losses.figures(self.day([1.0] * 10 + [0.5] * 10), self.day([1.0] * 20), 10, {"b"})
-        self.assertEqual((found["back_s"], found["out_s"]), (10, 10))
+        self.assertEqual((found["recover_s"], found["out_s"]), (10, 10))
 
     def test_options_are_played_with_their_script_and_without_on_the_same_days(self) -> None:
         tree = day(seconds=12, fleet={"relays": 3, "units": 6, "zones": ["a", "b", "c"]}, clients={"rate": 60},
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -183,6 +183,13 @@
         self.assertAlmostEqual(beyond([[980, 20]], [[900, 100]]), -7.6, delta=0.4)
         self.assertEqual((beyond([[10, 0]], [[10, 0]]), beyond([[0, 0]], [[10, 3]])), (0.0, 0.0))
 
+    def test_a_bad_build_does_not_pass_when_messages_come_again_or_its_judge_starts_anew(self) -> None:
+        """Only cells that had changed were told, so after a loss what was served came at once, and what had failed up to
+        four seconds later: time enough for a vote on."""
+        for how in ({"lost": (0.0, 8.0)}, {"lost": (1.0, 9.0)}, {"restart": 4.0}, {"restart": 0.5}):
+            for seed in range(4):
+                self.assertEqual(heard(50, 4.0, 0.05, seed, **how).vote, "back", (how, seed))
+
     def test_what_is_played_is_told_as_the_module_tells_it(self) -> None:
         """The same counts through a relay's own judge: the same notes at the same beats."""
         fleet = Fleet(40, 5.0, 0.1, 3)
