Counts of weeks: a relay tells on from a new start before figures run full

Cause: 32 bits hold 16 days of 3,000 outcomes a second; then what is served stood still again while failures go on. Change: past 2^31 a relay's notes carry another start and counts from there; a judge adds up both. Measured: 13.3 thousand million outcomes told in 19 notes come out to the one.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -24,7 +24,7 @@
 GROUPS, EDGES = ("canary", "baseline", "before"), (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # served, failed, times in parts of the promise; of each ring
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
-CROWD, THINNEST = 1000, 7                        # relays; they tell each second, or each eighth at the least
+CROWD, THINNEST, FULL = 1000, 7, 1 << 31         # relays; turns of telling, less one; counts told
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need
 EARLY_MARGIN, EARLY_EXCESS, BRIEF, WIDE = 0.015, 4.0, 4, 3       # over what the baseline explains, in all, in
 # 6 s and, if so many units of the build have failed of late (no one unit's errors), in so many beats; where
@@ -391,7 +391,7 @@
         self.heard: dict[int, tuple[int, int, int]] = {}         # sender -> when, taken of late, and before
         self.past: list[Any] = [None] * 12       # the pool in the latest six seconds, and in the latest minute
         self.slow: list[Any] = [None] * 12
-        self.begun = self.relay.now
+        self.begun, self.born, self.base = self.relay.now, self.relay.born, [0] * len(self.pooled.sums)
         self.draw()
 
     def draw(self) -> None:
@@ -413,6 +413,7 @@
         too: else a judge of many hears first of whoever saw the canary fail, and sends a good build back."""
         relay, trial, tell = self.relay, self.relay.trial, self.relay.host.tell
         counts = [count for name in GROUPS for count in trial.groups[name]]     # the canary's first
+        counts = [count - base for count, base in zip(counts, self.base)]
         matched = 2 * len(trial.lately)          # cells of canary and baseline
         pressing = any(counts[at] > self.told[at] for at in range(1, matched, ROW))
         thin = 1 + min(THINNEST, self.facts["relays"] // CROWD)  # else thousands of relays drown their judges
@@ -426,11 +427,14 @@
                  if whole or counts[row:row + ROW] != self.told[row:row + ROW]   # notes served must not be told
                  for cell in range(row, row + ROW) if counts[cell]]      # without what failed or came late
         self.told = counts
-        for data in count_notes(trial.build, relay.born, relay.admission.lately(), trial.taken_before, cells,
+        for data in count_notes(trial.build, self.born, relay.admission.lately(), trial.taken_before, cells,
                                 len(counts)):
             for index in self.order[:JUDGES + 1] if cells or self.place <= JUDGES else ():
                 if index != relay.index:
                     tell(index, data)
+        if max(counts, default=0) > FULL:        # from here on as if it had started anew
+            self.base, self.born = [base + count for base, count in zip(self.base, counts)], relay.now
+            self.told = [0] * len(counts)
 
     def hear(self, sender: int, data: bytes) -> None:
         relay, figures = self.relay, read(data)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -281,6 +281,26 @@
                 told.append(len(story.host.of("tell")) > before)
             self.assertEqual(sum(told), times, (relays, index, judges))
 
+    def test_counts_of_weeks_never_run_full(self) -> None:
+        """Two cells of 16 bits hold 16 days of 3,000 outcomes a second; then what is served stood still again."""
+        story = Story(relays=40)
+        story.trial()
+        judge = story.relay.judge
+        pool = Pool(len(judge.pooled.sums))
+        judge.place, count = 30, 0
+        for beat in range(3, 41, 2):
+            judge.beat = beat
+            count += 700_000_000
+            story.relay.trial.groups["canary"][0] = count
+            before = len(story.host.of("tell"))
+            judge.tell()
+            story.later(policy.SECOND)
+            for _, data in story.host.of("tell")[before:]:
+                figures = read(data)
+                pool.add(7, figures[1], figures[4:])
+        self.assertGreater(count, 1 << 33)
+        self.assertEqual(pool.sums[0], count)
+
     def test_failures_of_the_canary_are_told_each_half_second(self) -> None:
         """Guards against a build that turns bad late and is sent back just after the next one is due."""
         story = Story()
