--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -389,7 +389,7 @@
     def new_build(self) -> None:
         self.pooled = Pool(len(GROUPS) * len(self.relay.trial.lately))       # what the others told
         self.heard: dict[int, tuple[int, int, int]] = {}         # sender -> when, taken of late, and before
-        self.past: list[Any] = [None] * 12       # the pool in the latest six seconds, and in the latest minute
+        self.past: list[Any] = [None] * 12       # the pool in the latest six seconds, and in a minute
         self.slow: list[Any] = [None] * 12
         self.begun, self.born, self.base = self.relay.now, self.relay.born, [0] * len(self.pooled.sums)
         self.draw()
@@ -423,9 +423,10 @@
         if self.verdict and self.voters > JUDGES and self.sitting():
             tell(-1, verdict_note(relay.build, relay.stage, self.verdict))
         whole = (self.beat // 2 + relay.index) % 4 == 0
-        cells = [(cell, counts[cell]) for row in range(0, len(counts), ROW)      # a row as a whole: after lost
-                 if whole or counts[row:row + ROW] != self.told[row:row + ROW]   # notes served must not be told
-                 for cell in range(row, row + ROW) if counts[cell]]      # without what failed or came late
+        # a row as a whole: after lost notes what was served must not be told without what failed
+        cells = [(cell, counts[cell]) for row in range(0, len(counts), ROW)
+                 if whole or counts[row:row + ROW] != self.told[row:row + ROW]
+                 for cell in range(row, row + ROW) if counts[cell]]
         self.told = counts
         for data in count_notes(trial.build, self.born, relay.admission.lately(), trial.taken_before, cells,
                                 len(counts)):
