--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -3,7 +3,7 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from loguru import logger
@@ -14,9 +14,6 @@
 from ..net.relay import Relay
 from ..net.start import BadStart, read, read_again
 
-BOOT = getattr(time, "CLOCK_BOOTTIME", None)
-
-
 def run(chosen: dict[str, Any], environment: Mapping[str, str]) -> int:
     """`serve` and `check`; returns the exit code."""
     try:
@@ -62,15 +59,20 @@
         raise BadStart(f"{path}: {problem}" if path not in str(problem) else str(problem)) from None
 
 
-def steady() -> float:
-    """Seconds of a clock that never steps, and that counts the time in which a machine sleeps where the system has one."""
-    return time.clock_gettime(BOOT) if BOOT is not None else time.monotonic()
+def steady_clock() -> Callable[[], float]:
+    """Seconds of a clock that never steps; one that counts the time in which a machine sleeps where the system has it."""
+    try:
+        boot = time.CLOCK_BOOTTIME
+        time.clock_gettime(boot)
+    except (AttributeError, OSError):
+        return time.monotonic
+    return lambda: time.clock_gettime(boot)
 
 
 def serve(told: Any, document: Any = None) -> int:
     """Run one relay until SIGTERM or SIGINT; SIGUSR1 prints the counters, SIGHUP has the file read again."""
     from twisted.internet import reactor
-    reactor.seconds = steady                     # its timers too: a step of the wall clock must not fire or hold them
+    reactor.seconds = steady_clock()             # its timers too: a step of the wall clock must not fire or hold them
     globalLogBeginner.beginLoggingTo([network_fault], redirectStandardIO=False)
     try:
         relay = Relay(reactor, told, Counters(), document, time.time)
