--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -14,6 +14,7 @@
 from ..net.relay import Relay
 from ..net.start import BadStart, read, read_again
 
+
 def run(chosen: dict[str, Any], environment: Mapping[str, str]) -> int:
     """`serve` and `check`; returns the exit code."""
     try:
