--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -280,7 +280,10 @@
 
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         zone = self.zones.get(shot.unit.zone)
-        if zone:
+        if zone is self.home and outcome == "served" and zone:   # the ordinary case: all that may be asked later is
+            zone.answered.add(self.relay.now)                    # whether it answered at all
+            zone.row_of_misses = 0
+        elif zone:
             now, invocation = self.relay.now, shot.invocation
             late = outcome not in IN_TIME or latency > LATE * invocation.workload.promised * max(1.0, invocation.size)
             if outcome in ANSWERED:
