--- a/tealsail/choices/clock.py
+++ b/tealsail/choices/clock.py
@@ -66,3 +66,14 @@
         """Forgets the others."""
         for unit in [unit for unit in self.known if unit not in units]:
             del self.known[unit]
+
+
+def disregard(relay: Any, now: int) -> None:
+    """Nothing ran for a while: what is out now was held up here, and what comes of it says nothing of builds, units or load.
+    `relay` is the module's (tealsail/policy.py); `now` in tenths of a ms."""
+    for invocation in relay.known.values():
+        for shot in invocation.shots:
+            shot.group = None                    # no evidence
+    relay.admission.cut_at = now
+    for unit in relay.units.values():
+        unit.waiting, unit.missed = now, min(unit.missed, -2)    # a connection that failed meanwhile is no news
--- a/tealsail/choices/flood.py
+++ b/tealsail/choices/flood.py
@@ -29,7 +29,6 @@
         self.limits = limits
         self.second, self.taken = -1, 0
         self.counts: dict[int, int] = {}
-        self.shed = 0                            # in all
 
     def allows(self, sender: int, now: int) -> bool:
         """`now` in tenths of a ms."""
@@ -40,7 +39,6 @@
         # past the half of what all may have, a sender may have an even part; past the whole, a first note only
         crowded = 2 * self.taken >= self.limits.all and count > self.limits.all // (2 * max(1, len(self.counts)))
         if count >= self.limits.each or crowded or (self.taken >= self.limits.all and count):
-            self.shed += 1
             return False
         self.counts[sender] = count + 1
         self.taken += 1
--- a/tealsail/choices/hearsay.py
+++ b/tealsail/choices/hearsay.py
@@ -124,4 +124,7 @@
 def scaled(good: int, late: int) -> tuple[int, int]:
     """At most EACH of both, in their proportion."""
     whole = good + late
-    return (good, late) if whole <= EACH else (EACH - (bad := round(EACH * late / whole)), bad)
+    if whole <= EACH:
+        return good, late
+    bad = round(EACH * late / whole)
+    return EACH - bad, bad
--- a/tealsail/choices/zones.py
+++ b/tealsail/choices/zones.py
@@ -154,7 +154,7 @@
                 zone.unreached = zone.alone = False
                 if zone.back.state != OUT:
                     zone.back.lost(now)
-            elif not gone and not zone.unreached:
+            elif not zone.unreached:
                 zone.back.there(now)
             seen = answered / (answered + missed) if answered + missed >= FEW else 1.0
             doubted = zone.place in doubts and not answered      # one's own answers go before all words
--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -255,13 +255,13 @@
             table.add_row(name, f"{gap.mean:+.4f} [{gap.low:+.4f}, {gap.high:+.4f}]", gap.better)
         out.print(table)
     save(chosen["--json"], {each.name: {"days": each.figures, "bars": {name: bar._asdict() for name, bar in each.bars.items()},
-                                        "breaches": losses.breaches(each)} for each in found}
+                                        "breaches": total([*each.hit, *each.calm])} for each in found}
          | {"differences": {name: {figure: gap._asdict() for figure, gap in rows.items()} for name, rows in gaps.items()}})
     if chosen["--chart"]:
         from ..lab import charts
         charts.zones(chosen["--chart"], {each.name: each.hit for each in found})
         out.print(f"chart: {chosen['--chart']}")
-    broken = [say_breaches(out, [], losses.breaches(each)) for each in found]
+    broken = [say_breaches(out, [], total([*each.hit, *each.calm])) for each in found]
     return int(any(broken))
 
 
--- a/tealsail/facade.py
+++ b/tealsail/facade.py
@@ -174,17 +174,6 @@
         wants, self.wants = self.wants, Wants([], [], [], [])
         return wants
 
-    def slept(self) -> None:
-        """Nothing ran for a while (a stopped process, a machine that slept): what is out now was held up here, and what
-        comes of it says nothing of builds, units or load."""
-        relay, now = self.relay, self.clock()
-        for invocation in relay.known.values():
-            for shot in invocation.shots:
-                shot.group = None
-        relay.admission.cut_at = now
-        for unit in relay.units.values():
-            unit.waiting, unit.missed = now, min(unit.missed, -2)            # a connection that failed meanwhile is no news
-
     @property
     def due(self) -> int:
         """When to tick next: at once if something waits to be fetched."""
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 
 from .. import settings
-from ..choices.clock import Clock, Stamps
+from ..choices.clock import Clock, Stamps, disregard
 from ..choices.flood import Flood, limits
 from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
                       Step, Units as Listing)
@@ -184,7 +184,7 @@
         """After a time in which nothing ran nothing older is trusted: evidence at once, then what others keep."""
         self.counters.add("clock.gaps")
         logger.warning("clock: nothing ran for {:.1f} s; list and platform are asked anew", gap)
-        self.facade.slept()
+        disregard(self.facade.relay, self.clock.last)
         self.reactor.callLater(0, self.anew)
 
     def anew(self) -> None:
--- a/tealsail/world/faults.py
+++ b/tealsail/world/faults.py
@@ -2,7 +2,6 @@
 from typing import NamedTuple
 
 
-
 class Fault(NamedTuple):
     """One line of a script.  Times are tenths of a ms; `span` 0: for good (or at once).
 
