Turned away by the list's keeper, a relay asks for what is new, spread over the fleet

Of 907 whole lists asked for none came; the two relays that kept a watch got each change.

Checked and ruled out: the judges (they voted "on" at the 19 s that a stale list asks for, as built); lost datagrams; votes turned away (none).

At fault: net/discovery.py took a 503 for an unreadable answer and forgot its version (`came`), so the next question was the dearest; net/kept.py's pauses doubled without chance (`again`).

--- /dev/null
+++ b/tealsail/choices/pauses.py
@@ -0,0 +1,43 @@
+"""How long a relay waits before it tries again what all relays of its fleet try.
+
+Guards against a fleet in step: what 40 relays asked for together, and together again after the same pauses, was more than
+the list of units could answer at any one time, so nobody was ever answered.
+"""
+from ..parts import Chance
+
+AGAIN, LONGEST_AGAIN = 0.1, 2.0                  # seconds: after a connection's end, and at the most
+EACH, LONGEST_EACH = 0.25, 1.0                   # for each relay of the fleet, after being turned away as one of too many
+PART = 0.4                                       # of the time within which a relay has to ask, for the mean of its pauses
+LEAST, WIDTH = 0.1, 1.8                          # a pause is drawn evenly from this part of its bound, and so wide
+
+
+class Pauses:
+    """Pauses in seconds, each drawn by chance around a bound that doubles until `reset`.
+
+    `first` and `longest` bound the mean in seconds; a try is followed by a pause of 0.1 to 1.9 times the bound, so that two
+    draws part a fleet that began in step.
+    """
+
+    def __init__(self, chance: Chance, first: float = AGAIN, longest: float = LONGEST_AGAIN) -> None:
+        self.chance, self.first, self.longest = chance, first, longest
+        self.bound = first
+
+    def next(self) -> float:
+        pause = (LEAST + WIDTH * self.chance.share()) * self.bound
+        self.bound = min(self.longest, 2 * self.bound)
+        return pause
+
+    def reset(self) -> None:
+        self.bound = self.first
+
+
+def by_fleet(chance: Chance, relays: int, within: float) -> Pauses:
+    """After having been turned away for too much asked by all: what the fleet asks a second stays the same however many
+    relays it has, but for the limit: a relay has to ask again `within` so many seconds, or counts as told all the same."""
+    longest = min(max(LONGEST_AGAIN, LONGEST_EACH * relays), within * PART)
+    return Pauses(chance, min(max(AGAIN, EACH * relays), longest), longest)
+
+
+def spread(chance: Chance, relays: int, within: float) -> float:
+    """Seconds until a relay's first question of a kind that all ask when they start."""
+    return min(EACH * relays, within * PART) * chance.share()
--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -6,13 +6,15 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from ..choices.pauses import Pauses
 from .counters import Counters
-from .kept import AGAIN, Ended, Kept
+from .kept import Ended, Kept
 
 LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 8 * 1024 * 1024
 WATCH, SLACK, FIRST_WAIT = 20.0, 2.0, 4.0        # seconds: a watch's wait, ours beyond it, and a plain call's
 PART = 1.0                                       # seconds for the rest of a reply that has begun
 STATES = ("ready", "draining", "gone")
+LONGEST_WAIT = 60                                # seconds that an agent may ask us to stay away for
 
 
 class Unreadable(Exception):
@@ -23,6 +25,11 @@
     status: int
     body: bytes
     last: bool                                   # the connection ends behind it
+    wait: int = 0                                # seconds that it asks to be left alone for
+
+    def turned_away(self) -> bool:
+        """Too much is asked of the other side, or it is at fault; what is known of the list still holds."""
+        return self.status == 429 or self.status >= 500
 
 
 class Entry(NamedTuple):
@@ -75,6 +82,7 @@
         self.status = 0                          # of the reply whose head has come
         self.length: int | None = None           # of its body or of the chunk at hand; None: up to the end
         self.chunked = self.trailer = self.last = False
+        self.wait = 0
         self.body = bytearray()
 
     def feed(self, data: bytes) -> list[Reply]:
@@ -133,6 +141,8 @@
         if length is not None and not (length.isdigit() and int(length) <= LONGEST_BODY):
             raise Unreadable("no such length")
         self.length = 0 if self.status in (204, 304) else int(length) if length is not None else None
+        wait = fields.get(b"retry-after", b"")   # a date, the other form, is passed over
+        self.wait = min(LONGEST_WAIT, int(wait)) if wait.isdigit() and len(wait) < 10 else 0
         how = fields.get(b"connection", b"").lower()
         self.last = how == b"close" or (version == b"HTTP/1.0" and how != b"keep-alive") or (
             self.length is None and not self.chunked)
@@ -172,7 +182,7 @@
         return True
 
     def whole(self, body: bytes) -> Reply:
-        reply = Reply(self.status, body, self.last)
+        reply = Reply(self.status, body, self.last, self.wait)
         self.status, self.length, self.body = 0, None, bytearray()
         self.chunked = self.trailer = False
         return reply
@@ -197,7 +207,7 @@
         try:
             for reply in self.replies.feed(data):
                 if reply.last:
-                    self.end("last")
+                    self.end("turned_away" if reply.turned_away() else "last")
                 self.discovery.came(self, reply)
             if self.replies.begun() and self is self.discovery.caller and not self.code:
                 self.discovery.expect(PART)      # not a watch's wait: this is no pause of an agent in order
@@ -221,10 +231,11 @@
     """The whole list once, then a watch that is resumed at once after each answer."""
 
     def __init__(self, reactor: Any, address: str, path: str, counters: Counters,
-                 tell: Callable[[News], None]) -> None:
-        super().__init__(reactor, address, counters)
-        self.path, self.tell = path, tell
+                 tell: Callable[[News], None], pauses: Pauses, turned: Pauses) -> None:
+        super().__init__(reactor, address, counters, pauses)
+        self.path, self.tell, self.turned = path, tell, turned   # the pauses after being turned away
         self.version: int | None = None          # None: the whole list is asked for
+        self.away = 0                            # seconds that the other side asked for when it last turned us away
         self.moved = False                       # and so it is at a new address
 
     def protocol(self) -> Caller:
@@ -245,6 +256,14 @@
         self.moved = True
         super().anew()
 
+    def begin(self, version: int | None, wait: float) -> None:
+        """The first watch is of what changed since then, or of the whole list, so many seconds from now."""
+        self.version = version
+        self.retry = self.reactor.callLater(wait, self.start)
+
+    def wait(self, code: str) -> float:
+        return self.away + self.turned.next() if code == "turned_away" else super().wait(code)
+
     def ask(self) -> None:
         first = self.version is None
         self.counters.add("discovery.asked")
@@ -256,6 +275,10 @@
         if caller is not self.caller:
             return
         self.quiet()
+        if reply.turned_away():                  # nothing was missed: no whole list, which all would ask for next
+            self.counters.add("discovery.turned_away")
+            self.away = reply.wait
+            return caller.end("turned_away")
         try:
             if reply.status != 200:
                 raise Unreadable(f"status {reply.status}")
@@ -264,7 +287,9 @@
             self.version = None                  # what was missed can't be told: the whole list next
             return caller.unreadable(str(problem))
         self.counters.add("discovery.answered")
-        self.pause, self.version = AGAIN, news.version
+        self.version = news.version
+        self.pauses.reset()
+        self.turned.reset()
         if not caller.code:
             self.ask()                           # before anything else: a watch goes on only for 200 ms
         self.tell(news)
--- a/tealsail/net/kept.py
+++ b/tealsail/net/kept.py
@@ -7,9 +7,10 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from ..choices.pauses import Pauses
 from .counters import Counters
 
-CONNECT, AGAIN, LONGEST_AGAIN = 1.0, 0.1, 2.0    # seconds: to connect, and pauses after an end
+CONNECT = 1.0                                    # seconds
 
 
 class Ended(Protocol):
@@ -26,16 +27,15 @@
 
 
 class Kept:
-    """One connection to an address, made anew after a pause that doubles until something comes.  After a move
+    """One connection to an address, made anew after a pause that grows until something comes.  After a move
     the former connection serves on until the one to the new address is up."""
 
-    def __init__(self, reactor: Any, address: str, counters: Counters) -> None:
-        self.reactor, self.address, self.counters = reactor, address, counters
+    def __init__(self, reactor: Any, address: str, counters: Counters, pauses: Pauses) -> None:
+        self.reactor, self.address, self.counters, self.pauses = reactor, address, counters, pauses
         self.caller: Any = None                  # the connection that counts, once it is up
         self.silence: Any = None                 # the timer of what is waited for on it
         self.retry: Any = None                   # the timer of the next try
         self.tries, self.trying = 0, False       # only the latest try counts, and whether it is under way
-        self.pause = AGAIN
         self.stopped = False
 
     def protocol(self) -> Ended:
@@ -75,12 +75,13 @@
     def move(self, address: str) -> None:
         """From now on the other side is found there."""
         if address != self.address and not self.stopped:
-            self.address, self.pause = address, AGAIN
+            self.address = address
+            self.pauses.reset()
             self.start()
 
     def anew(self) -> None:
         """What is known may be old: a new connection at once, and all of it asked for there."""
-        self.pause = AGAIN
+        self.pauses.reset()
         self.start()
 
     def expect(self, seconds: float) -> None:
@@ -106,8 +107,11 @@
         cancel(self.retry)
         if not self.stopped:
             self.counters.add(f"kept.again.{code}")
-            self.retry = self.reactor.callLater(self.pause, self.start)
-            self.pause = min(LONGEST_AGAIN, 2 * self.pause)
+            self.retry = self.reactor.callLater(self.wait(code), self.start)
+
+    def wait(self, code: str) -> float:
+        """Seconds until the next try after such an end."""
+        return self.pauses.next()
 
     def stop(self) -> None:
         self.stopped = True
--- a/tealsail/net/platform.py
+++ b/tealsail/net/platform.py
@@ -7,8 +7,9 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from ..choices.pauses import Pauses
 from .counters import Counters
-from .kept import AGAIN, Ended, Kept, cancel
+from .kept import Ended, Kept, cancel
 
 LONGEST = 8 * 1024
 SILENT, PART = 3.5, 0.5                          # seconds with no sign of life; for the rest of a line
@@ -110,8 +111,8 @@
     """The subscription, kept up, and one vote at a time over the same connection."""
 
     def __init__(self, reactor: Any, address: str, vote_wait: float, counters: Counters,
-                 tell: Callable[[State], None], counted: Callable[[str], None]) -> None:
-        super().__init__(reactor, address, counters)
+                 tell: Callable[[State], None], counted: Callable[[str], None], pauses: Pauses) -> None:
+        super().__init__(reactor, address, counters, pauses)
         self.vote_wait, self.tell, self.counted = vote_wait, tell, counted
         self.calls = 0
         self.voting: int | None = None           # the call of the vote that is out
@@ -137,7 +138,7 @@
             self.voted("ok" if what.state else ERRORS.get(what.error, "timeout"))
         if caller is not self.caller:            # news comes over the connection that counts
             return
-        self.pause = AGAIN
+        self.pauses.reset()
         self.expect(SILENT)
         if isinstance(what, Told):
             self.counters.add("platform.news" if what.state else "platform.alive")
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -10,8 +10,10 @@
 from .. import settings
 from ..choices.clock import Clock, Stamps, disregard
 from ..choices.flood import Flood, limits
+from ..choices.pauses import Pauses, by_fleet, spread
 from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
                       Step, Units as Listing)
+from ..parts import Chance, mix
 from .clients import Answer, Clients, Forfeited, Rejected
 from .counters import Counters
 from .discovery import Discovery, Entry, News
@@ -26,6 +28,7 @@
 OPEN = {"ready": "open"}                         # other states keep their names
 LINGER, LAST = 0.5, 0.05                         # seconds after SIGTERM: clients still come; looks at the end
 TENTHS = 10_000                                  # in a second
+WITHIN = 10 * TENTHS                             # a list is asked for as often, where the platform does not say
 LOOK = 1.0                                       # seconds between looks at the clocks
 
 
@@ -136,9 +139,13 @@
         self.units = Units(reactor, self.counters, facts.get("connect_wait", TENTHS) / TENTHS,
                            facts.get("idle_time", 30 * TENTHS) / TENTHS, room)
         self.clients = Clients(reactor, self.take, self.clock, self.counters, room)
-        self.discovery = Discovery(reactor, told.discovery, PATH, self.counters, self.listed)
+        chance = Chance(mix(told.seed, facts.get("index", 0)))
+        self.fleet = facts.get("relays", 1), facts.get("ask_within", WITHIN) / TENTHS
+        self.chance = chance                     # of what all relays do: apart from the module's
+        self.discovery = Discovery(reactor, told.discovery, PATH, self.counters, self.listed, Pauses(chance),
+                                   by_fleet(chance, *self.fleet))
         self.platform = Platform(reactor, told.platform, facts.get("vote_wait", TENTHS) / TENTHS,
-                                 self.counters, self.stood, self.counted)
+                                 self.counters, self.stood, self.counted, Pauses(chance))
         self.peers = Peers(told.peers, told.everyone, self.counters, self.heard,
                            Flood(limits(len(self.facade.relay.judge.pooled.sums))), self.clock)
         self.load_fields = facts.get("load_fields", [])
@@ -162,7 +169,7 @@
         if self.told.peer_listen:
             host, port = pair(self.told.peer_listen)
             self.ports.append(self.reactor.listenUDP(port, self.peers, host, maxPacketSize=2048))
-        self.discovery.start()
+        self.watch()
         if self.told.platform:
             self.platform.start()
         host, port = pair(self.told.listen)
@@ -172,6 +179,14 @@
         self.looking = self.reactor.callLater(LOOK, self.look)
         self.schedule()
 
+    def watch(self) -> None:
+        """Where lists are asked for and cost their keeper work, a relay asks only for what is new since what it was told,
+        and not in the same moment as all that started with it."""
+        facts, known = self.told.facts, self.told.known
+        if facts.get("list_mode") == "on_request" and known.entries:
+            return self.discovery.begin(known.version, spread(self.chance, *self.fleet))
+        self.discovery.start()
+
     def look(self) -> None:
         """Steps of the wall clock are told and move nothing."""
         step = self.clock.look()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -91,11 +91,11 @@
         stream = (self.HEAD + b"content-length: 2\r\n\r\n{}" + b"HTTP/1.1 100 Continue\r\n\r\n"
                   + self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n3;x=1\r\nabc\r\nA\r\n0123456789\r\n"
                   + b"0\r\nTrailer: yes\r\n\r\n" + b"HTTP/1.1 204 No\r\n\r\n"
-                  + b"HTTP/1.1 503 Busy\r\nConnection: close\r\n\r\nlater")
+                  + b"HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nConnection: close\r\n\r\nlater")
         for piece in (1, 3, len(stream)):
             self.assertEqual([tuple(each) for each in self.replies(stream, piece)],
-                             [(200, b"{}", False), (200, b"abc0123456789", False), (204, b"", False),
-                              (503, b"later", True)])
+                             [(200, b"{}", False, 0), (200, b"abc0123456789", False, 0), (204, b"", False, 0),
+                              (503, b"later", True, 7)])
 
     def test_what_is_not_http_is_unreadable(self) -> None:
         chunked = self.HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -152,7 +152,7 @@
         wire.sent()
         wire.gets(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
         self.assertTrue(wire.settle())
-        self.wait(0.5)
+        self.wait(1.0)
         wire = self.discovery(listing(42, True, unit(UNIT)))
         wire.sent()
         wire.gets(reply({"generation": "?"}))
@@ -168,6 +168,31 @@
         self.client(asking())
         self.unit()
 
+    def test_a_fleet_too_many_for_the_list_asks_for_what_is_new_and_later(self) -> None:
+        """Turned away, a relay asked for the whole list, and soon: more work for a keeper that had too much of it."""
+        wire = self.discovery(listing(42, True, unit(UNIT)))
+        wire.gets(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\nRetry-After: 3\r\nConnection: close\r\n\r\n")
+        self.assertTrue(wire.settle())
+        self.assertEqual(self.relay.counters.counts["discovery.turned_away"], 1)
+        self.wait(3.0)
+        self.assertFalse(self.reactor.dialled(LIST))
+        self.wait(1.0)
+        self.assertIn(b"?after=42&", self.reactor.up(LIST).sent())
+
+    def test_where_lists_are_asked_for_the_first_question_is_for_what_is_new_and_not_everyones_at_once(self) -> None:
+        waited = []
+        for index in range(20):
+            settings = config()["settings"] | {"discovery": "on_request", "fleetSize": 20, "index": index,
+                                               "rules": {"askWithin": 10000}}
+            self.reactor = Reactor()
+            Relay(self.reactor, told(config(settings=settings))).start()
+            while not self.reactor.dialled(LIST):
+                self.wait(0.1)
+            waited.append(self.reactor.seconds() - 1_700_000_000)
+            self.assertIn(b"?after=41&", self.reactor.up(LIST).sent())
+        self.assertLess(max(waited), 5)
+        self.assertLess(max(sum(each <= other < each + 0.5 for other in waited) for each in waited), 8)
+
     def desk(self) -> Wire:
         wire = self.reactor.up(DESK)
         self.assertEqual(json.loads(wire.sent())["method"], "subscribe")
@@ -301,7 +326,7 @@
             wire = self.discovery(listing(50, True, spoilt))
             self.assertTrue(wire.settle())
             self.assertEqual(len(self.relay.units.pools), 1)
-            self.relay.discovery.pause = 0.1
+            self.relay.discovery.pauses.reset()
             self.wait(0.2)
         wire = self.reactor.up(LIST)
         wire.gets(b"[" * 9000)                   # no head, and no end of it
@@ -315,7 +340,7 @@
         for line in (b'{"method":"stage","params":%s}\n' % json.dumps(state(build=70000)).encode(),
                      b'{"method":"stage","params":%s}\n' % json.dumps(state(cap=float("nan"))).encode(),
                      b"[" * 8000 + b"\n", b"\xff\xfe{}\n", b'{"method":"pi'):
-            self.relay.platform.pause = 0.1
+            self.relay.platform.pauses.reset()
             wire = self.desk()
             wire.gets(line)
             self.wait(0.6)
