--- a/tealsail/choices/pauses.py
+++ b/tealsail/choices/pauses.py
@@ -6,7 +6,8 @@
 from ..parts import Chance
 
 AGAIN, LONGEST_AGAIN = 0.1, 2.0                  # seconds: after a connection's end, and at the most
-EACH, LONGEST_EACH = 0.25, 1.0                   # for each relay of the fleet, after being turned away as one of too many
+FIRST, EACH, LONGEST_EACH = 0.1, 0.05, 1.0       # for each relay of the fleet: until a first question; after being turned
+# away as one of too many, and then at the most
 PART = 0.4                                       # of the time within which a relay has to ask, for the mean of its pauses
 LEAST, WIDTH = 0.1, 1.8                          # a pause is drawn evenly from this part of its bound, and so wide
 
@@ -40,4 +41,4 @@
 
 def spread(chance: Chance, relays: int, within: float) -> float:
     """Seconds until a relay's first question of a kind that all ask when they start."""
-    return min(EACH * relays, within * PART) * chance.share()
+    return min(FIRST * relays, within * PART) * chance.share()
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -77,7 +77,8 @@
 class Admission(Stage):
     """Keeps queues short: a limit on this relay's shots out there falls with late answers, rises with those
     in time; less for what pays little or is of a customer beyond its share.  Guards against any overload."""
-    LATE, EASY, RISE, CUT = 0.8, 0.5, 0.1, 0.4   # late, and with no queue: parts of the promised time
+    LATE, EASY, RISE, CUT = 1.0, 0.5, 0.1, 0.4   # late (sooner, heavy work alone was, and each of many relays
+    # took that for a jam), and with no queue: parts of the promised time
     FEW, LEAST = 3, 0.15                         # under so few the limit is a share taken, at least this one
 
     def __init__(self, relay: "Relay") -> None:
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -495,6 +495,15 @@
         self.assertTrue(20 < len(story.sent()) < 60)
         self.assertGreater(story.relay.admission.limit, 1)
 
+    def test_heavy_work_that_comes_within_the_promise_is_no_jam(self) -> None:
+        """One answer in twenty at nine tenths of the promise: relays of few shots rejected a tenth with units idle."""
+        story = Story(units=8)
+        limit = story.relay.admission.limit
+        for at in range(200):
+            story.serve(latency=9 * SECOND // 10 if at % 20 == 0 else SECOND // 5)
+            story.later(SECOND // 20)
+        self.assertEqual((len(story.sent()), story.relay.admission.limit), (200, limit))
+
     def test_on_the_way_back_few_earlier_units_are_not_sent_everything(self) -> None:
         story = Story(units=4, free_shots=100, relays=9)
         story.trial(many=3)
