One relay's word alone moves no verdict

Change: a judge leaves a relay's word out whole, whatever starts it claimed, where its failures are contradicted: at its rate twenty or more were due among the others, and less than a tenth came; nobody is a witness for more than the accused saw. The crude margin is also taken without whoever told most of the canary. What a sender's former starts counted is kept by sender, in one (notes.py). Stories: five of lies and of honest fleets that look alike.

--- a/tealsail/notes.py
+++ b/tealsail/notes.py
@@ -39,7 +39,7 @@
     """Cumulative counts of many senders and their sums: of two of one start the larger is the newer.
 
     Bounded by senders and cells, whatever restarts there are: of a sender the two starts heard of last are kept, since
-    notes of the one before may still be on their way.  What older ones counted stays in the sums; their marks are kept
+    notes of the one before may still be on their way.  What older ones counted stays in the sums, and by sender in one; their marks are kept
     for a while, so that a note that was doubled does not count again.
     """
 
@@ -47,6 +47,7 @@
         self.sums = [0] * size
         self.known: dict[int, dict[int, dict[int, int]]] = {}    # sender -> its start -> cell -> count
         self.over: dict[int, list[int]] = {}     # sender -> starts that are over
+        self.before: dict[int, dict[int, int]] = {}  # sender -> what starts no longer kept counted, by cell
 
     def of(self, sender: int, born: int) -> dict[int, int] | None:
         """What is known of that start, the one heard of last in the end; None for one that is over."""
@@ -59,7 +60,9 @@
             known = {}
             if len(starts) >= STARTS:
                 oldest = next(iter(starts))
-                del starts[oldest]
+                before = self.before.setdefault(sender, {})
+                for cell, count in starts.pop(oldest).items():
+                    before[cell] = before.get(cell, 0) + count
                 self.over[sender] = past[-PAST + 1:] + [oldest]
         starts[born] = known
         return known
@@ -78,8 +81,24 @@
                 self.sums[cell] += count - known.get(cell, 0)
                 known[cell] = count
 
-    def rows(self, own: list[list[int]], workloads: list) -> list[list[list[int]]]:
-        """The sums with one's own counts: group by group, a row for each workload."""
-        told = iter(self.sums)
+    def of_each(self, cells: list[int]) -> dict[int, int]:
+        """Each sender's sum over these cells, of all its starts."""
+        return {sender: sum(part.get(cell, 0) for part in self.parts(sender) for cell in cells) for sender in self.known}
+
+    def without(self, sender: int) -> list[int]:
+        """The sums less all that is that sender's."""
+        less = list(self.sums)
+        for part in self.parts(sender):
+            for cell, count in part.items():
+                less[cell] -= count
+        return less
+
+    def parts(self, sender: int) -> list[dict[int, int]]:
+        """What a sender counted, cell -> count, start by start; those no longer kept in one."""
+        return [*self.known.get(sender, {}).values(), self.before.get(sender, {})]
+
+    def rows(self, own: list[list[int]], workloads: list, sums: list[int] | None = None) -> list[list[list[int]]]:
+        """The sums (or those given) with one's own counts: group by group, a row for each workload."""
+        told = iter(self.sums if sums is None else sums)
         groups = [[mine + next(told) for mine in group] for group in own]
         return [[group[workload.row] for workload in workloads] for group in groups]
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -34,6 +34,7 @@
 ALL_SLOWER, ALSO_SLOWER, JAM = 1.5, 1.2, 1.5     # over before: earlier units, by the square of the rise of
 # traffic over what units can do; the canary; from such a rise on units jam, and slowness tells of no build
 HORIZON, PATIENCE = 3 * SECOND + SECOND // 4, 5 * SECOND      # after the newest listed start; and if thin
+WITNESSES = 20                                   # failures that others had seen, were one relay's word true
 MATCHED = 20                                     # far shots of the canary that may wait for a baseline
 SKIP, LISTED, LAUNCH = 2 * SECOND, 0.7, 8 * SECOND           # a new unit's; a stage's units; by then all
 
@@ -453,8 +454,31 @@
             self.verdict, crowd = figures[2], self.voters / self.facts["votes_per_second"] - 1.5
             self.busy_until = relay.now + int(max(0.0, crowd) * relay.chance.share() * SECOND)
 
-    def pool(self) -> list[list[list[int]]]:
-        return self.pooled.rows([self.relay.trial.groups[name] for name in GROUPS], self.relay.workloads)
+    def pool(self, sums: list[int] | None = None) -> list[list[list[int]]]:
+        own = [self.relay.trial.groups[name] for name in GROUPS]
+        return self.pooled.rows(own, self.relay.workloads, sums)
+
+    def told_by(self, group: int, *columns: int) -> dict[int, int]:
+        """What each relay told of a group, in these columns of its rows."""
+        size = len(self.relay.trial.lately)
+        rows, own = range(group * size, (group + 1) * size, ROW), self.relay.trial.groups[GROUPS[group]]
+        return self.pooled.of_each([row + each for row in rows for each in columns]) | {
+            self.relay.index: sum(own[row + each] for row in range(0, size, ROW) for each in columns)}
+
+    def others(self, told: dict[int, int]) -> list[list[list[int]]]:
+        """Without the relay that told most."""
+        return self.pool(self.pooled.without(max(told, key=told.__getitem__))) if told else self.pool()
+
+    def contradicted(self, group: int) -> list[list[list[int]]] | None:
+        """What the others told, if one relay's failures in a group are its word alone: at its rate they would
+        have seen many, and saw hardly any.  Guards against a relay that lies or is broken.  Where one has
+        most of the traffic others saw too little for that; none is a witness for more than the accused."""
+        bad, seen = self.told_by(group, 1), self.told_by(group, 0, 1)
+        accused = max(bad, key=bad.__getitem__, default=-1)
+        most, few = seen.get(accused, 0), sum(bad.values()) - bad.get(accused, 0)
+        due = sum(min(most, many) for many in seen.values()) - most
+        lone = bad.get(accused, 0) * due >= most * max(WITNESSES, 10 * few)
+        return self.others(bad) if lone and bad.get(accused) else None
 
     def fails(self, canary: list[list[int]], baseline: list[list[int]]) -> bool:
         """The crude margin on failures that the baseline does not explain, for each workload and for all."""
@@ -511,9 +535,15 @@
         deaf = self.facts["may_tell"] and 2 * heard + 1 < self.facts["relays"]  # then what is thin was lost
         looks = 2 * log(max(1.0, (relay.now - self.begun) / STEADY))
         # Departure: fewer failures, beyond chance and on a quarter of its units: a build that turns bad late
-        if known and (any(self.fails(each, pooled[1]) for each in (pooled[0], recent[0], brief[0])[:2 + wide])
-                      or broad > max(len(seen), 8) and
-                      max(surplus(pooled, each) for each in (brief, minute)) > sqrt(BEYOND ** 2 + looks)):
+        chance = sqrt(BEYOND ** 2 + looks)
+        failing = any(self.fails(each, pooled[1]) for each in (pooled[0], recent[0], brief[0])[:2 + wide]) \
+            or broad > max(len(seen), 8) and max(surplus(pooled, each) for each in (brief, minute)) > chance
+        rest = self.contradicted(0) or self.contradicted(1)
+        if rest:                                 # that relay's word counts no more, nor what came of it
+            failing = self.fails(*rest[:2])
+        else:                                    # who told of a million served hides nobody's failures
+            failing = failing or self.fails(*self.others(self.told_by(0, 0, 1))[:2])
+        if known and failing:
             self.verdict = BACK
         elif not self.verdict and relay.phase == ON_TRIAL and relay.now >= self.due():
             known = not thin or (relay.now >= self.due() + PATIENCE and not deaf)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -261,6 +261,39 @@
             self.assertFalse(story.relay.leaving)
 
 
+class OneThatLies(unittest.TestCase):
+    """A relay that is broken, or lies: one note of it moved a verdict.  The others' word stands against it."""
+
+    def judged(self, lies: tuple[dict, dict], honest: tuple[dict, dict], others: int = 3) -> list[int]:
+        story = Story()
+        story.trial()
+        for sender in range(1, others + 1):
+            story.relay.on_told(sender, story.evidence(*honest))
+        story.relay.on_told(5, story.evidence(*lies))
+        story.beat()
+        return story.votes()
+
+    WELL = dict(served=60), dict(served=60)
+    FAILS = dict(served=50, failed=10), dict(served=60)
+
+    def test_failures_that_nobody_else_sees_are_no_back(self) -> None:
+        self.assertEqual(self.judged((dict(failed=40, served=20), dict(served=60)), self.WELL), ON)
+
+    def test_failures_that_one_relay_alone_could_see_are(self) -> None:
+        """It has nearly all of the traffic: what the others saw is too little to say otherwise."""
+        self.assertEqual(self.judged((dict(failed=40, served=400), dict(served=440)),
+                                     (dict(served=10), dict(served=10))), BACK)
+
+    def test_and_failures_that_all_see_are_whoever_tells_most(self) -> None:
+        self.assertEqual(self.judged(self.FAILS, self.FAILS), BACK)
+
+    def test_a_million_served_hides_nobodys_failures(self) -> None:
+        self.assertEqual(self.judged((dict(served=60_000), dict(served=60)), self.FAILS), BACK)
+
+    def test_nor_does_a_baseline_that_fails_for_one_alone(self) -> None:
+        self.assertEqual(self.judged((dict(served=60), dict(served=10, failed=60_000)), self.FAILS), BACK)
+
+
 class ManyRelays(unittest.TestCase):
     def test_voters_cast_what_any_judge_tells_and_back_outweighs_on(self) -> None:
         story = Story(relays=40, on_votes=20, votes_per_second=100)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -6,6 +6,7 @@
 import random
 import tempfile
 import unittest
+from collections import Counter
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -21,6 +22,7 @@
 from tealsail.lab.virtual import Model
 from tealsail.record import files
 from tealsail.record.lines import Came, End, Head, Log, Shot, Stage, Take, Told, Vote, encode
+from tealsail.world.unit import Unit
 
 SECOND = 10_000
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -156,6 +158,26 @@
             result, _ = self.play(seed, **size)
             self.assertEqual(result.figures["released.2"], 1.0)
 
+    def test_twenty_eight_of_forty_relays_come_back_at_once_without_a_storm(self) -> None:
+        """By tenth of a second over the whole fleet: votes and handshakes; a new stage's units cost more, later."""
+        votes, connects, lines = Counter(), Counter(), []
+        tree = day(seconds=12, fleet={"relays": 40, "units": 24}, clients={"rate": 700},
+                   unit={"handshake_work_ms": 2.0, "connections": 200}, platform={"votes_per_second": 16},
+                   script="\n".join(f"at 5s kill relay {relay} for 1s" for relay in range(28)))
+        model = Model(convert(tree), 1, [lines.append])
+        connect = Unit.connect
+        with mock.patch.object(Unit, "connect", lambda unit: connects.update([model.now // 1000]) or connect(unit)):
+            model.play()
+        for line in lines:
+            if type(line) is Vote:
+                votes[line.at // 1000] += 1
+        arrivals = Counter(line.at // 1000 for line in lines if type(line) is Take)
+        self.assertLessEqual(max(votes.values()), 3)             # judges, each in its own beat
+        self.assertTrue(all(votes[at] + votes[at + 1] <= 6 for at in votes))
+        back = max(connects[at] for at in range(60, 80))
+        self.assertLessEqual(back, max(arrivals[at] for at in range(60, 80)))    # by use, none ahead of it
+        self.assertLess(sum(connects[at] for at in range(90, 105)), 0.05 * sum(arrivals[at] for at in range(90, 105)))
+
     def test_connections_at_units_are_scarce_and_handshakes_work(self) -> None:
         """Twenty relays at four units that hold ten connections each: some are turned away, and the rest is served."""
         few, lines = self.play(seconds=8, fleet={"relays": 20, "units": 4}, clients={"rate": 120},
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -99,6 +99,16 @@
         self.assertEqual(pool.sums[5], 20 * 3 * 14)
 
 
+    def test_one_senders_word_can_be_left_out_whole_whatever_starts_it_had(self) -> None:
+        pool = Pool(SIZE)
+        for sender in (1, 2, 3):
+            for start in range(6 if sender == 2 else 1):
+                pool.add(sender, start, (0, 10 * sender, 1, sender))
+        self.assertEqual(pool.of_each([0, 1]), {1: 11, 2: 132, 3: 33})
+        self.assertEqual(pool.without(2)[:2], [40, 4])
+        self.assertEqual(pool.without(9), pool.sums)
+
+
 class Floods(unittest.TestCase):
     """How many notes are taken, of one sender and of all."""
 
