--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -287,7 +287,14 @@
     for mad, free, guarded in lies:
         table.add_row(str(mad), *heard_cells(free), *heard_cells(guarded))
     out.print(table)
-    save(chosen["--json"], {"fleets": rows, "lies": lies})
+    rolled = judging.mixed()
+    table = Table(title="400 relays while they are rolled: days of five on which the build goes back")
+    for column in ("of before", "a good build", "one that fails 5%, messages lost for 8 s"):
+        table.add_column(column, justify="right")
+    for each in rolled:
+        table.add_row(f"{each.earlier:.0%}", str(each.good), str(each.bad))
+    out.print(table)
+    save(chosen["--json"], {"fleets": rows, "lies": lies, "rolled": rolled})
     if chosen["--chart"]:
         from ..lab import charts
         charts.judges(chosen["--chart"], rows)
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -26,8 +26,9 @@
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
 CROWD, THINNEST, FULL = 1000, 7, 1 << 31         # relays; turns of telling, less one; counts told
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need
-EARLY_MARGIN, EARLY_EXCESS, BRIEF, WIDE = 0.015, 4.0, 4, 3       # over what the baseline explains, in all, in
-# 6 s and, if so many units of the build have failed of late (no one unit's errors), in so many beats; where
+EARLY_MARGIN, EARLY_EXCESS, CHANCE = 0.015, 4.0, 3.0     # over what the baseline explains, and its deviations
+BRIEF, WIDE = 4, 3                             # in all, in 6 s and, if so many units of a build have failed
+# of late (no one unit's errors), in so many beats; where
 BROAD, BEYOND, STEADY = 4, 2.8, 5 * SECOND       # one in so many has: standard deviations beyond chance, more
 # of them the longer a build is looked at: else, of looks twice a second, chance alone passes within minutes
 SLOWER, UNEVEN, REJECT_AT, LEAST = 1.6, 0.3, 0.01, 20        # medians' ratio, for few units, level, outcomes
@@ -481,10 +482,15 @@
         return self.others(bad) if lone and bad.get(accused) else None
 
     def fails(self, canary: list[list[int]], baseline: list[list[int]]) -> bool:
-        """The crude margin on failures that the baseline does not explain, for each workload and for all."""
+        """The crude margin on failures that the baseline does not explain, for each workload and for all; and
+        beyond chance, where many are due: relays with failures tell first, and so a judge hears of many."""
         sums = [[sum(column) for column in zip(*group)] for group in (canary, baseline)]
-        return any(new[1] - (new[0] + new[1]) * old[1] / max(1, old[0] + old[1]) > EARLY_EXCESS
-                   + EARLY_MARGIN * (new[0] + new[1]) for new, old in [*zip(canary, baseline), sums])
+        for new, old in [*zip(canary, baseline), sums]:
+            many = new[0] + new[1]
+            due = many * old[1] / max(1, old[0] + old[1])
+            if new[1] - due > max(EARLY_EXCESS + EARLY_MARGIN * many, CHANCE * sqrt(2 * due)):
+                return True
+        return False
 
     def worse(self, pooled: list, recent: list) -> bool:
         """Slower than the earlier build.  Departure, for a build that slows old and new units alike: while
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -24,6 +24,9 @@
     def test_a_failure_or_two_or_what_the_baseline_shares_are_no_verdict(self) -> None:
         self.assertEqual(self.judged(dict(served=20, failed=2), dict(served=22), age=0), [])
         self.assertEqual(self.judged(dict(served=20, failed=8), dict(served=20, failed=8), age=0), [])
+        # relays with failures tell first: of many, some more in the canary are chance
+        self.assertEqual(self.judged(dict(served=220, failed=23), dict(served=230, failed=12), age=0), [])
+        self.assertEqual(self.judged(dict(served=210, failed=35), dict(served=230, failed=12), age=0), BACK)
 
     def test_back_by_rank_at_the_horizon(self) -> None:
         self.assertEqual(self.judged(dict(served=60, bucket=5), dict(served=60, bucket=3)), BACK)
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -4,7 +4,7 @@
 from hypothesis import given, strategies as st
 
 from tealsail.choices.flood import SECOND, Flood, Limits, limits
-from tealsail.lab.judging import Fleet, heard
+from tealsail.lab.judging import mixed, Fleet, heard
 from tealsail.notes import PAST, STARTS, Pool, count_notes, read
 from tealsail.parts import beyond
 from tealsail.policy import GROUPS, JUDGES, ROW
@@ -184,6 +184,11 @@
             for seed in range(4):
                 self.assertEqual(heard(50, 4.0, 0.05, seed, **how).vote, "back", (how, seed))
 
+    def test_while_a_fleet_is_rolled_a_few_relays_of_before_send_no_good_build_back(self) -> None:
+        few, all_of_before = mixed((0.1, 1.0), seeds=2)
+        self.assertEqual((few.good, few.bad), (0, 2))
+        self.assertEqual(all_of_before.good, 2)                  # what was mended
+
     def test_what_is_played_is_told_as_the_module_tells_it(self) -> None:
         """The same counts through a relay's own judge: the same notes at the same beats."""
         fleet = Fleet(40, 5.0, 0.1, 3)
