--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -23,7 +23,6 @@
 NEVER_RAN = {"full", "unreachable", "moot"}      # outcomes that prove that a shot was not run
 GROUPS, EDGES = ("canary", "baseline", "before"), (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # served, failed, times in parts of the promise; of each ring
-GENTLE = 0.85                                    # of an even share: few units that jam by chance look slow
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
 CROWD, THINNEST, FULL = 1000, 7, 1 << 31         # relays; turns of telling, less one; counts told
 JUDGES, FRESH, SPARE = 3, 3 * SECOND, 1.25       # silent for so long: dead; voters over the need
@@ -170,8 +169,6 @@
         relay.cold_share = [(each / 2, each * (others + mine) / room)    # if drawn for the other row, or this
                             for each, room in zip(cold, (others, mine))]
         slow, usual = (sum(unit.pace for unit in row) / max(1, len(row)) for row in (new, old))
-        if relay.phase == ON_TRIAL and 4 * mine < others:        # else the earlier ones, few by now, jam
-            mine *= GENTLE
         self.share = mine / (mine + others * max(1.0, slow / max(0.01, usual)))
         if relay.judge.verdict == BACK or relay.phase == GOING_BACK:
             self.share = max(0.0, 1 - BEAR * (1 - self.share))   # earlier units get what they can bear
