--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -14,7 +14,6 @@
 WATCH, SLACK, FIRST_WAIT = 20.0, 2.0, 4.0        # seconds: a watch's wait, ours beyond it, and a plain call's
 PART = 1.0                                       # seconds for the rest of a reply that has begun
 STATES = ("ready", "draining", "gone")
-LONGEST_WAIT = 60                                # seconds that an agent may ask us to stay away for
 
 
 class Unreadable(Exception):
@@ -142,7 +141,7 @@
             raise Unreadable("no such length")
         self.length = 0 if self.status in (204, 304) else int(length) if length is not None else None
         wait = fields.get(b"retry-after", b"")   # a date, the other form, is passed over
-        self.wait = min(LONGEST_WAIT, int(wait)) if wait.isdigit() and len(wait) < 10 else 0
+        self.wait = int(wait) if wait.isdigit() and len(wait) < 10 else 0
         how = fields.get(b"connection", b"").lower()
         self.last = how == b"close" or (version == b"HTTP/1.0" and how != b"keep-alive") or (
             self.length is None and not self.chunked)
@@ -256,13 +255,13 @@
         self.moved = True
         super().anew()
 
-    def begin(self, version: int | None, wait: float) -> None:
-        """The first watch is of what changed since then, or of the whole list, so many seconds from now."""
+    def begin(self, version: int, wait: float) -> None:
+        """The first watch is of what changed since then, so many seconds from now."""
         self.version = version
         self.retry = self.reactor.callLater(wait, self.start)
 
     def wait(self, code: str) -> float:
-        return self.away + self.turned.next() if code == "turned_away" else super().wait(code)
+        return self.turned.next(self.away) if code == "turned_away" else super().wait(code)
 
     def ask(self) -> None:
         first = self.version is None
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -10,7 +10,7 @@
 from .. import settings
 from ..choices.clock import Clock, Stamps, disregard
 from ..choices.flood import Flood, limits
-from ..choices.pauses import Pauses, by_fleet, spread
+from ..choices.pauses import WITHIN, Pauses, by_fleet, first_question
 from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
                       Step, Units as Listing)
 from ..parts import Chance, mix
@@ -28,7 +28,6 @@
 OPEN = {"ready": "open"}                         # other states keep their names
 LINGER, LAST = 0.5, 0.05                         # seconds after SIGTERM: clients still come; looks at the end
 TENTHS = 10_000                                  # in a second
-WITHIN = 10 * TENTHS                             # a list is asked for as often, where the platform does not say
 LOOK = 1.0                                       # seconds between looks at the clocks
 
 
@@ -140,7 +139,7 @@
                            facts.get("idle_time", 30 * TENTHS) / TENTHS, room)
         self.clients = Clients(reactor, self.take, self.clock, self.counters, room)
         chance = Chance(mix(told.seed, facts.get("index", 0)))
-        self.fleet = facts.get("relays", 1), facts.get("ask_within", WITHIN) / TENTHS
+        self.fleet = facts.get("relays", 1), facts.get("ask_within", WITHIN * TENTHS) / TENTHS
         self.chance = chance                     # of what all relays do: apart from the module's
         self.discovery = Discovery(reactor, told.discovery, PATH, self.counters, self.listed, Pauses(chance),
                                    by_fleet(chance, *self.fleet))
@@ -180,12 +179,9 @@
         self.schedule()
 
     def watch(self) -> None:
-        """Where lists are asked for and cost their keeper work, a relay asks only for what is new since what it was told,
-        and not in the same moment as all that started with it."""
-        facts, known = self.told.facts, self.told.known
-        if facts.get("list_mode") == "on_request" and known.entries:
-            return self.discovery.begin(known.version, spread(self.chance, *self.fleet))
-        self.discovery.start()
+        known = self.told.known
+        wait = first_question(self.chance, *self.fleet, self.told.facts.get("list_mode") == "on_request", bool(known.entries))
+        self.discovery.start() if wait is None else self.discovery.begin(known.version, wait)
 
     def look(self) -> None:
         """Steps of the wall clock are told and move nothing."""
--- a/tealsail/notes.py
+++ b/tealsail/notes.py
@@ -1,5 +1,6 @@
 """What relays tell each other, as bytes, and the sums of what was told.  Nothing is decided here."""
 import struct
+from collections.abc import Sequence
 
 MOST = 60                                        # figures of a message: 10 + 4 * 60 bytes
 LOW = 0xFFFF                                     # the most that one figure holds
@@ -43,8 +44,11 @@
     for a while, so that a note that was doubled does not count again.
     """
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, kinds: Sequence[Sequence[int]] = ()) -> None:
+        """`kinds`: sets of cells whose sum is kept up for each sender, in `told`."""
         self.sums = [0] * size
+        self.told: list[dict[int, int]] = [{} for _ in kinds]    # of each kind: sender -> sum over its cells
+        self.kinds = {cell: [place for place, cells in enumerate(kinds) if cell in cells] for cells in kinds for cell in cells}
         self.known: dict[int, dict[int, dict[int, int]]] = {}    # sender -> its start -> cell -> count
         self.over: dict[int, list[int]] = {}     # sender -> starts that are over
         self.before: dict[int, dict[int, int]] = {}  # sender -> what starts no longer kept counted, by cell
@@ -78,25 +82,19 @@
                 continue
             count += above.pop(cell, 0)
             if count > known.get(cell, 0):
-                self.sums[cell] += count - known.get(cell, 0)
-                known[cell] = count
-
-    def of_each(self, cells: list[int]) -> dict[int, int]:
-        """Each sender's sum over these cells, of all its starts."""
-        return {sender: sum(part.get(cell, 0) for part in self.parts(sender) for cell in cells) for sender in self.known}
+                more, known[cell] = count - known.get(cell, 0), count
+                self.sums[cell] += more
+                for kind in self.kinds.get(cell, ()):
+                    self.told[kind][sender] = self.told[kind].get(sender, 0) + more
 
     def without(self, sender: int) -> list[int]:
-        """The sums less all that is that sender's."""
+        """The sums less all that is that sender's, whatever starts it had."""
         less = list(self.sums)
-        for part in self.parts(sender):
-            for cell, count in part.items():
+        for counts in (*self.known.get(sender, {}).values(), self.before.get(sender, {})):
+            for cell, count in counts.items():
                 less[cell] -= count
         return less
 
-    def parts(self, sender: int) -> list[dict[int, int]]:
-        """What a sender counted, cell -> count, start by start; those no longer kept in one."""
-        return [*self.known.get(sender, {}).values(), self.before.get(sender, {})]
-
     def rows(self, own: list[list[int]], workloads: list, sums: list[int] | None = None) -> list[list[list[int]]]:
         """The sums (or those given) with one's own counts: group by group, a row for each workload."""
         told = iter(self.sums if sums is None else sums)
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -22,6 +22,7 @@
 ON, BACK, ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = 1, 3, 0, 1, 2, 3      # verdicts of a vote; phases
 NEVER_RAN = {"full", "unreachable", "moot"}      # outcomes that prove that a shot was not run
 GROUPS, EDGES = ("canary", "baseline", "before"), (0.06, 0.1, 0.16, 0.26, 0.42, 0.67, 1.07)
+TOLD = [(0, (1,)), (0, (0, 1)), (1, (1,)), (1, (0, 1))]          # canary and baseline: failures, outcomes
 ROW, BUCKETS = 2 + len(EDGES) + 1, 20            # served, failed, times in parts of the promise; of each ring
 TRIAL_PART, BEAR = 0.9, 1.3                      # of the allowance; over an even share, for a while
 CROWD, THINNEST, FULL = 1000, 7, 1 << 31         # relays; turns of telling, less one; counts told
@@ -393,7 +394,10 @@
         self.new_build()
 
     def new_build(self) -> None:
-        self.pooled = Pool(len(GROUPS) * len(self.relay.trial.lately))       # what the others told
+        size = len(self.relay.trial.lately)
+        kinds = [[group * size + row + column for row in range(0, size, ROW) for column in columns]
+                 for group, columns in TOLD]
+        self.pooled = Pool(len(GROUPS) * size, kinds)            # what the others told
         self.heard: dict[int, tuple[int, int, int]] = {}         # sender -> when, taken of late, and before
         self.past: list[Any] = [None] * 12       # the pool in the latest six seconds, and in a minute
         self.slow: list[Any] = [None] * 12
@@ -460,26 +464,24 @@
         return self.pooled.rows(own, self.relay.workloads, sums)
 
     def told_by(self, group: int, *columns: int) -> dict[int, int]:
-        """What each relay told of a group, in these columns of its rows."""
-        size = len(self.relay.trial.lately)
-        rows, own = range(group * size, (group + 1) * size, ROW), self.relay.trial.groups[GROUPS[group]]
-        return self.pooled.of_each([row + each for row in rows for each in columns]) | {
-            self.relay.index: sum(own[row + each] for row in range(0, size, ROW) for each in columns)}
+        """What each relay told of a group, in these columns of its rows, and what this one counted itself."""
+        own = sum(sum(self.relay.trial.groups[GROUPS[group]][column::ROW]) for column in columns)
+        return self.pooled.told[TOLD.index((group, columns))] | {self.relay.index: own}
 
     def others(self, told: dict[int, int]) -> list[list[list[int]]]:
         """Without the relay that told most."""
-        return self.pool(self.pooled.without(max(told, key=told.__getitem__))) if told else self.pool()
+        return self.pool(self.pooled.without(max(told, key=told.__getitem__)))
 
     def contradicted(self, group: int) -> list[list[list[int]]] | None:
         """What the others told, if one relay's failures in a group are its word alone: at its rate they would
         have seen many, and saw hardly any.  Guards against a relay that lies or is broken.  Where one has
         most of the traffic others saw too little for that; none is a witness for more than the accused."""
         bad, seen = self.told_by(group, 1), self.told_by(group, 0, 1)
-        accused = max(bad, key=bad.__getitem__, default=-1)
-        most, few = seen.get(accused, 0), sum(bad.values()) - bad.get(accused, 0)
+        accused = max(bad, key=bad.__getitem__)
+        few, most = sum(bad.values()) - bad[accused], seen[accused]
         due = sum(min(most, many) for many in seen.values()) - most
-        lone = bad.get(accused, 0) * due >= most * max(WITNESSES, 10 * few)
-        return self.others(bad) if lone and bad.get(accused) else None
+        lone = bad[accused] and bad[accused] * due >= most * max(WITNESSES, 10 * few)
+        return self.others(bad) if lone else None
 
     def fails(self, canary: list[list[int]], baseline: list[list[int]]) -> bool:
         """The crude margin on failures that the baseline does not explain, for each workload and for all; and
