A relay that ends loses no query that the kernel has taken in

Read for races, then forced: a query in the kernel when idle connections end, or when one is crowded out, mute or makes room, got a reset; so did all in the listener's backlog when the port closed; a client that read late kept the relay from ending (a paused producer is asked for more by the transport, and loseConnection is forgotten); so did one that never read.

Mended: the backlog is taken in before the port closes; no idle end with bytes unread (MSG_PEEK); half a query and the query of one just welcomed are waited for; a last word is followed by an end of our half only, and the rest is read and dropped; the end has a bound.

The commit's stories are in tests/test_crossings.py: real kernel sockets, a loop that turns only when told, the crossing laid into the kernel's buffers first.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -5,17 +5,21 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from . import messages, statements
 from .counters import Counters
+from .kernel import unread
 from .messages import Value
 
 READ_AHEAD, EACH = 64 * 1024, 256                # bytes held of one connection, then reading rests; for each
 MOST_QUERIES = 32                                # that wait in one connection: no client in order asks so much
-SWEEP = 0.1                                      # seconds
+SWEEP, LOOKS = 0.1, 8                            # seconds; idle connections looked at for one that makes room
 MUTE, FIRST = 20_000, 5_000                      # tenths of a ms: something whole must have come; a first query
 CROWD, UNUSED = 0.25, 3_000                      # so full, idle connections end; after so long
+READ_OUT, MOST_READ_OUT = 0.5, 32                # seconds for the other side's end behind ours; connections at a time
 
 
 class Rejected(NamedTuple):
@@ -59,6 +63,7 @@
     return EACH + (len(what.text) if isinstance(what, Asked) else 0)
 
 
+@implementer(IHalfCloseableProtocol)
 class Client(Protocol):
     """One connection.  What comes is answered one after the other; `waiting` is the invocation at hand."""
 
@@ -68,6 +73,8 @@
         self.queue: deque[Asked | bytes | Ending] = deque()      # bytes: an answer that is known already
         self.waiting: Deferred[Answer] | None = None
         self.welcome = True                      # False: there is no room for it
+        self.late = False                        # welcomed while this relay is ending already
+        self.cutting: Any = None                 # the timer of the end behind ours
         self.skipping = self.working = self.clogged = self.deaf = self.resting = False
         self.held = 0                            # bytes of the queue
         self.idle_since = clients.clock()
@@ -112,7 +119,7 @@
             case messages.Startup() if not self.welcome:
                 self.hold(Ending("full", messages.trouble(FULL, "too many connections", fatal=True)))
             case messages.Startup():
-                self.splitter.typed = True
+                self.splitter.typed, self.late = True, self.clients.closing
                 self.hold(messages.WELCOME)
 
     def came(self, what: messages.Query | messages.Extended | messages.Copied | messages.Terminate) -> None:
@@ -168,8 +175,16 @@
                 case known:
                     self.write(known)
         self.working = False
-        if self.idle() and self.clients.closing:
-            self.end("closing")
+        if self.clients.closing:
+            self.leave_off()
+
+    def leave_off(self) -> None:
+        """This relay is ending: the end of an idle connection.  Not over a query that is half here or in the kernel, which is
+        ours already, nor before one that was just welcomed has had the time to ask."""
+        new = not self.asked and (self.late or not self.splitter.typed)
+        now = self.clients.clock()
+        if self.free() and (self.mute(now) or not self.half_since and not (new and now - self.idle_since < UNUSED)):
+            self.end("mute" if self.mute(now) else "closing")
 
     def answer(self, text: bytes, at: int) -> None:
         if not text.strip(b" ;\n\t"):
@@ -213,15 +228,45 @@
         since = self.half_since or (now if self.asked else self.idle_since)
         return self.idle() and now - since > MUTE
 
+    def free(self) -> bool:
+        """Idle, and nothing that it asked waits in the kernel: to close over that would reset it."""
+        return self.idle() and not unread(self.transport)
+
     def end(self, code: str, last: bytes = b"", note: str = "") -> None:
-        if not self.code:
-            self.code, self.note = code, note
-            if last:
-                self.write(last)
+        """Behind what was written.  With a last answer just written only our half ends, and what still comes is read and
+        dropped until the other half does: a close with something unread is a reset, which may overtake the answer."""
+        if self.code:
+            return
+        self.code, self.note = code, note
+        if last:
+            self.write(last)
+        self.transport.unregisterProducer()      # one that is paused would be asked for more, and no end would follow
+        if (last or code == "closing") and self.clients.reading_out < MOST_READ_OUT:
+            self.transport.resumeProducing()
+            self.transport.loseWriteConnection()
+        else:
             self.transport.loseConnection()
 
+    def writeConnectionLost(self) -> None:
+        """All is written and our half has ended."""
+        self.clients.reading_out += 1
+        self.cutting = self.clients.reactor.callLater(READ_OUT, self.cut)
+
+    def readConnectionLost(self) -> None:
+        """The other half has ended: who does that waits for nothing more."""
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def cut(self, code: str = "") -> None:
+        """No more waiting for the other side."""
+        self.code = self.code or code
+        self.transport.abortConnection()
+
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
         self.clients.leave(self)
+        if self.cutting:
+            self.clients.reading_out -= 1
+            if self.cutting.active():
+                self.cutting.cancel()
         self.queue.clear()
         waiting, self.waiting = self.waiting, None
         code = self.code or ("left" if waiting else "closed" if reason.check(ConnectionDone) else "broken")
@@ -246,6 +291,7 @@
         self.reactor, self.take, self.clock, self.counters, self.most = reactor, take, clock, counters, most
         self.connections: dict[Client, None] = {}
         self.closing = False
+        self.reading_out = 0                     # connections whose other half is waited for
         self.sweeping = reactor.callLater(SWEEP, self.sweep)
 
     def sweep(self) -> None:
@@ -254,9 +300,9 @@
         which a query on its way would take for its answer."""
         now, crowded = self.clock(), len(self.connections) > self.most * CROWD
         for client in list(self.connections):
-            if client.mute(now):
+            if client.mute(now) and client.free():
                 client.end("mute")
-            elif crowded and client.idle() and not client.half_since and now - client.idle_since > UNUSED:
+            elif crowded and not client.half_since and now - client.idle_since > UNUSED and client.free():
                 client.end("crowded")
         self.sweeping = self.reactor.callLater(SWEEP, self.sweep)
 
@@ -274,9 +320,10 @@
         self.connections[client] = None
         if len(self.connections) <= self.most:
             return True
-        longest = min((each for each in self.connections if each is not client and each.idle()),
+        idle = sorted((each for each in self.connections if each is not client and each.idle()),
                       key=lambda each: (bool(each.half_since), each.asked or now - each.idle_since < FIRST,
-                                        each.idle_since), default=None)
+                                        each.idle_since))
+        longest = next((each for each in idle[:LOOKS] if each.free()), None)
         if longest:
             longest.end("no_room")
         return longest is not None
@@ -285,7 +332,12 @@
         self.connections.pop(client, None)
 
     def close(self) -> None:
-        """Idle connections end now, the others with their last answer."""
+        """Idle connections end now, the others with their last answer; called again until none is left."""
         self.closing = True
         for client in list(self.connections):
             client.next()
+
+    def cut(self) -> None:
+        """What is still here now ends at once."""
+        for client in list(self.connections):
+            client.cut("unread")
--- /dev/null
+++ b/tealsail/net/kernel.py
@@ -0,0 +1,20 @@
+"""What the kernel holds already and the loop has not read: asked before a close that would throw it away."""
+import socket
+from typing import Any
+
+
+def unread(transport: Any) -> bool:
+    """Whether bytes wait there unread.  An end that waits is none, nor is anything where there is no socket to look at."""
+    held = getattr(transport, "socket", None)
+    try:
+        return bool(held and held.recv(1, socket.MSG_PEEK))
+    except OSError:                              # nothing there, or it has ended
+        return False
+
+
+def take_in(port: Any, count: Any) -> None:
+    """Accept all that a listening port holds; `count` tells how many have been accepted so far."""
+    accept = getattr(port, "doRead", None)       # ports in memory have no kernel behind them
+    before = None
+    while accept and before != (before := count()):
+        accept()
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -19,6 +19,7 @@
 from .clients import Answer, Clients, Forfeited, Rejected
 from .counters import Counters
 from .discovery import Discovery, Entry, News
+from .kernel import take_in
 from .peers import Peers, pair
 from .platform import Platform, State
 from .start import Assignment
@@ -29,6 +30,7 @@
 SPARE, FEWEST = 64, 64                           # descriptors for all but clients and units; at least
 OPEN = {"ready": "open"}                         # other states keep their names
 LINGER, LAST = 0.5, 0.05                         # seconds after SIGTERM: clients still come; looks at the end
+ENOUGH = 3.0                                     # seconds behind that, or the longest deadline: all are answered or late
 TENTHS = 10_000                                  # in a second
 LOOK = 1.0                                       # seconds between looks at the clocks
 
@@ -160,7 +162,9 @@
         self.zones = {name: place for place, name in enumerate(facts.get("zones", []))}
         self.serving: dict[int, Serving] = {}
         self.ids: set[bytes] = set()             # of those that are being served
-        self.ports: list[Any] = []
+        self.door: Any = None                    # where clients come in
+        self.post: Any = None                    # where notes come in
+        self.enough = 0                          # when nothing is waited for any longer, once it ends
         self.timer: Any = None
         self.duties: tuple[int, ...] = ()        # the keeper and the judges, as last logged
         self.looking: Any = None                 # the timer of the next look at the clocks
@@ -177,12 +181,12 @@
         self.listed(self.told.known, "old copy")
         if self.told.peer_listen:
             host, port = pair(self.told.peer_listen)
-            self.ports.append(self.reactor.listenUDP(port, self.peers, host, maxPacketSize=2048))
+            self.post = self.reactor.listenUDP(port, self.peers, host, maxPacketSize=2048)
         self.watch()
         if self.told.platform:
             self.platform.start()
         host, port = pair(self.told.listen)
-        self.ports.append(self.reactor.listenTCP(port, self.clients, 512, host))
+        self.door = self.reactor.listenTCP(port, self.clients, 512, host)
         logger.info("serving name={} listen={} units={}", self.told.name, self.told.listen,
                     len(self.told.known.entries))
         self.looking = self.reactor.callLater(LOOK, self.look)
@@ -336,16 +340,24 @@
         return self.stopped
 
     def leave(self) -> None:
-        for port in self.ports:
-            port.stopListening()
+        """The door closes behind all that the kernel has let in: what they asked is ours.  Notes still come, since those
+        who are served to the end may need another relay's word."""
+        take_in(self.door, lambda: self.counters.counts["clients.connections"])
+        self.door.stopListening()
         self.clients.stop_sweeping()
-        self.clients.close()
+        longest = max((each.get("abandon", 0) for each in self.told.facts["workloads"]), default=0)
+        self.enough = self.clock() + max(longest, int(ENOUGH * TENTHS))
         self.finish()
 
     def finish(self) -> None:
+        self.clients.close()
         if self.clients.connections:
+            if self.clock() > self.enough:       # who does not read its answer would keep this relay for ever
+                self.clients.cut()
             self.reactor.callLater(LAST, self.finish)
             return
+        if self.post:
+            self.post.stopListening()
         self.discovery.stop()
         self.platform.stop()
         self.looking.cancel()
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -128,7 +128,7 @@
     def loseConnection(self) -> None:
         self.closing = True
 
-    abortConnection = loseConnection
+    abortConnection = loseWriteConnection = loseConnection       # the other side ends its half at once
 
     def settle(self) -> bool:
         """Whether it has ended by now."""
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,322 @@
+"""What crosses in the kernel: real sockets, and a loop that turns only when a story says so, on a clock that a story moves.
+
+Each story lays a query, an answer, an end or a list into the kernel's buffers first and lets the loop go on then, so that
+nothing is left to luck.  docs/design/crossings.md lists them.
+"""
+import json
+import os
+import select
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import tomllib
+import unittest
+from typing import Callable
+
+from twisted.internet.epollreactor import EPollReactor
+
+from tealsail.net.relay import LAST, LINGER, Relay
+
+from .fake import GREETING, IDLE, OPENING, ROW, asking, field
+from .test_relay import config, listing, reply, told, unit
+
+EMPTY, NOTHING = field(b"Q", b"\0"), field(b"I", b"") + IDLE
+PATIENCE = 20.0                                  # seconds of real time, for a machine that is busy with other things
+
+
+def row(value: bytes) -> bytes:
+    return (field(b"T", b"\0\1content\0" + bytes(16) + b"\0\1")
+            + field(b"D", b"\0\1" + struct.pack(">I", len(value)) + value) + field(b"C", b"SELECT 1\0"))
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return free.getsockname()[1]
+
+
+class Crossing(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 1_700_000_000.0
+        self.reactor = EPollReactor()
+        self.reactor.seconds = lambda: self.now
+        self.unit_side = self.listening()
+        self.agent_side = self.listening()
+        self.port = free_port()
+
+    def listening(self) -> socket.socket:
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        return server
+
+    def started(self, *units: dict, **more: object) -> Relay:
+        here = {"hostPort": "127.0.0.1:%d" % self.unit_side.getsockname()[1]}
+        tree = config(listen=f"127.0.0.1:{self.port}", peer_listen=f"127.0.0.1:{free_port()}",
+                      discovery="127.0.0.1:%d" % self.agent_side.getsockname()[1],
+                      rollouts=config()["rollouts"] | {"address": "127.0.0.1:1"},
+                      known=listing(41, True, *(units or (unit(1) | here,)))) | more
+        self.tree = tree
+        self.relay = Relay(self.reactor, told(tree))
+        self.relay.start()
+        self.addCleanup(self.reactor.removeAll)
+        self.addCleanup(self.everything_closed)
+        return self.relay
+
+    def everything_closed(self) -> None:
+        for reader in self.reactor.removeAll():
+            getattr(reader, "socket", self.unit_side).close()
+
+    def turn(self) -> None:
+        self.reactor.runUntilCurrent()
+        self.reactor.doIteration(0.01)
+
+    def until(self, what: Callable[[], object]) -> None:
+        """The loop goes on, and time stands, until that is so."""
+        end = time.monotonic() + PATIENCE
+        while not what():
+            self.assertLess(time.monotonic(), end, "it did not come")
+            self.turn()
+
+    def later(self, seconds: float) -> None:
+        """Only the timers: nothing that came is read."""
+        self.now += seconds
+        self.reactor.runUntilCurrent()
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds * 20)):
+            self.now += 0.05
+            self.turn()
+
+    def connect(self, turn: bool = True, rcvbuf: int = 0) -> socket.socket:
+        client = socket.socket()
+        self.addCleanup(client.close)
+        if rcvbuf:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, rcvbuf)
+        client.connect(("127.0.0.1", self.port))
+        client.sendall(OPENING + EMPTY)
+        if turn:
+            self.assertTrue(self.got(client, NOTHING).endswith(NOTHING))
+        return client
+
+    def accept(self, server: socket.socket) -> socket.socket:
+        self.until(lambda: select.select([server], [], [], 0)[0])
+        inside = server.accept()[0]
+        self.addCleanup(inside.close)
+        return inside
+
+    def shot(self) -> socket.socket:
+        """The unit's end of a new connection with a query on it."""
+        inside = self.accept(self.unit_side)
+        inside.sendall(GREETING)
+        self.got(inside, b"*/\0")
+        return inside
+
+    def got(self, sock: socket.socket, last: bytes) -> bytes:
+        """All up to these bytes, or up to the end."""
+        seen = b""
+        while not seen.endswith(last):
+            self.until(lambda: select.select([sock], [], [], 0)[0])
+            data = sock.recv(1 << 16)
+            if not data:
+                break
+            seen += data
+        return seen
+
+    def to_the_end(self, sock: socket.socket) -> bytes:
+        """Raises ConnectionResetError where the end is none in order."""
+        seen = b""
+        while True:
+            self.until(lambda: select.select([sock], [], [], 0)[0])
+            data = sock.recv(1 << 16)
+            if not data:
+                return seen
+            seen += data
+
+    def in_kernel(self, client: socket.socket) -> None:
+        """What that client wrote waits at the relay's end, unread."""
+        here = next(each for each in self.relay.clients.connections
+                    if each.transport.getPeer().port == client.getsockname()[1])
+        self.assertTrue(select.select([here.transport.socket], [], [], PATIENCE)[0])
+
+    def leaving(self) -> list[None]:
+        """SIGTERM came, and the moment in which clients still come is over but for its last instant."""
+        ended: list[None] = []
+        self.relay.stop().addCallback(ended.append)
+        self.later(LINGER - 0.001)
+        return ended
+
+
+class AtTheEnd(Crossing):
+    def test_a_query_in_the_kernel_when_idle_connections_end_is_served(self) -> None:
+        """Guards against an end over a query that is taken already: its client gets a reset for an answer."""
+        self.started()
+        client = self.connect()
+        ended = self.leaving()
+        client.sendall(asking(wait=3000))
+        self.in_kernel(client)
+        self.later(0.002)
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.to_the_end(client), ROW + IDLE)
+        client.close()
+        self.pass_time(3 * LAST)
+        self.assertEqual(len(ended), 1)
+
+    def test_connections_that_the_kernel_took_in_before_the_door_closed_are_served(self) -> None:
+        """Guards against a port that closes over its backlog: all in it are reset."""
+        self.started()
+        self.leaving()
+        clients = [self.connect(turn=False) for _ in range(150)]
+        clients[-1].sendall(asking(wait=3000))
+        self.later(0.002)
+        self.shot().sendall(ROW + IDLE)
+        self.assertTrue(self.to_the_end(clients[-1]).endswith(NOTHING + ROW + IDLE))
+        for client in clients[:-1]:
+            self.assertTrue(self.to_the_end(client).endswith(NOTHING))
+
+    def test_who_was_welcomed_at_the_last_moment_still_asks(self) -> None:
+        self.started()
+        self.leaving()
+        client = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(client.close)
+        client.sendall(OPENING)
+        self.later(0.002)
+        self.got(client, IDLE)
+        client.sendall(asking(wait=3000))
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.to_the_end(client), ROW + IDLE)
+
+    def test_half_a_query_is_waited_for_but_not_for_ever(self) -> None:
+        self.started()
+        kept, lost = self.connect(), self.connect()
+        for client in (kept, lost):
+            client.sendall(asking(wait=3000)[:20])
+            self.in_kernel(client)
+            self.turn()
+        ended = self.leaving()
+        self.later(0.002)
+        self.turn()
+        kept.sendall(asking(wait=3000)[20:])
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.to_the_end(kept), ROW + IDLE)
+        kept.close()
+        self.pass_time(2.2)
+        self.assertEqual(self.to_the_end(lost), b"")
+        self.pass_time(0.3)
+        self.assertEqual(len(ended), 1)
+
+    def test_a_client_that_reads_late_gets_all_and_then_the_end(self) -> None:
+        """Guards against a transport that asks a paused producer for more and forgets that it was to end."""
+        self.started()
+        client = self.connect(rcvbuf=4096)
+        here = next(iter(self.relay.clients.connections))
+        here.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.sendall(asking(wait=30000))
+        inside = self.shot()
+        ended = self.leaving()
+        self.later(0.002)
+        answer = row(bytes(200_000)) + IDLE
+        inside.setblocking(False)
+        sent = 0
+        while sent < len(answer):
+            sent += inside.send(answer[sent:])
+            self.turn()
+        self.until(lambda: here.clogged)
+        self.assertEqual(self.to_the_end(client), answer)
+        client.close()
+        self.pass_time(3 * LAST)
+        self.assertEqual(len(ended), 1)
+
+    def test_a_client_that_never_reads_does_not_hold_the_end_up(self) -> None:
+        self.started()
+        client = self.connect(rcvbuf=4096)
+        here = next(iter(self.relay.clients.connections))
+        here.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.sendall(asking(wait=2000))
+        inside = self.shot()
+        ended = self.leaving()
+        self.later(0.002)
+        inside.setblocking(False)
+        answer, sent = row(bytes(200_000)) + IDLE, 0
+        while sent < len(answer):
+            sent += inside.send(answer[sent:])
+            self.turn()
+        self.until(lambda: here.clogged)
+        self.pass_time(2.5)
+        self.assertEqual(ended, [])
+        self.pass_time(0.8)
+        self.assertEqual(len(ended), 1)
+        self.assertEqual(self.relay.counters.counts["client.ended.closing"], 1)
+
+    def test_notes_come_as_long_as_somebody_is_served(self) -> None:
+        """Guards against a relay that asks another which unit to take and does not hear the answer."""
+        self.started()
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        inside = self.shot()
+        self.leaving()
+        self.later(0.002)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.sendto(b"note", self.relay.post.socket.getsockname())
+            self.until(lambda: self.relay.counters.counts["peers.dropped"])
+        inside.sendall(ROW + IDLE)
+        self.assertEqual(self.to_the_end(client), ROW + IDLE)
+
+
+class AtTheClients(Crossing):
+    def ended_over(self, code: str) -> None:
+        """A query is in the kernel in the turn in which its idle connection would end with that code."""
+        clients = self.started().clients
+        client = self.connect()
+        here = next(iter(clients.connections))
+        here.asked, here.idle_since = code != "mute", clients.clock() - 25_000
+        client.sendall(asking(wait=3000))
+        self.in_kernel(client)
+        clients.most = 16 if code == "mute" else 1
+        if code == "no_room":
+            self.assertFalse(clients.enter(type(here)(clients)))
+        else:
+            clients.sweep()
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.got(client, IDLE), ROW + IDLE)
+
+    def test_a_query_in_the_kernel_is_not_crowded_out(self) -> None:
+        """Guards, as the next two, against the end of a connection that only looks idle: what it asked would be reset."""
+        self.ended_over("crowded")
+
+    def test_a_query_in_the_kernel_is_not_mute(self) -> None:
+        self.ended_over("mute")
+
+    def test_a_query_in_the_kernel_makes_no_room(self) -> None:
+        self.ended_over("no_room")
+
+    def test_a_last_word_is_not_overtaken_by_a_reset(self) -> None:
+        """Guards against an end with something unread, which is a reset and may destroy what was written before it."""
+        self.started()
+        client = self.connect()
+        client.sendall(field(b"!", b""))
+        self.in_kernel(client)
+        client.sendall(bytes(300_000))
+        said = self.to_the_end(client)
+        self.assertEqual((said.count(b"C08P01\0"), said[:1]), (1, b"E"))
+        client.sendall(bytes(1000))              # still no reset: it is read and dropped
+        self.turn()
+        client.close()
+        self.until(lambda: not self.relay.clients.connections)
+
+    def test_who_does_not_end_its_half_is_left(self) -> None:
+        self.started()
+        client = self.connect()
+        client.sendall(field(b"!", b""))
+        self.to_the_end(client)
+        self.pass_time(0.6)
+        self.assertEqual(len(self.relay.clients.connections), 0)
+        self.assertEqual(self.relay.clients.reading_out, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
