A signal before a relay can act on it is kept, and a second one asks for nothing more

Symptom, forced: SIGHUP or SIGUSR1 before serve had set its handler ended the process, a crash; a configuration half written at its SIGHUP was never read again. Read: a second SIGTERM called reactor.stop twice, an error in a Deferred that nobody sees since the process ends. At fault: command/serve.py (handlers set last, addCallback for each signal, reload). Handlers stand before the first client. A file that is no JSON or not there is read again after 0.1 to 1.6 s, 3.1 s in all, within the 4 s in which it counts.

Stories with the whole program as `run` starts it. Each mend was taken out and run: no early handler, early signals dropped and no second reading fail; the second signal's story passes with and without its hunk (the error stays unseen), so it proves only that the end is in order.

--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -12,7 +12,8 @@
 
 from ..net.counters import Counters
 from ..net.relay import Relay
-from ..net.start import BadStart, read, read_again
+from ..net.start import BadStart, Torn, read, read_again
+from .signals import SIGNALS
 
 
 def run(chosen: dict[str, Any], environment: Mapping[str, str]) -> int:
@@ -39,13 +40,29 @@
         logger.error("network: {}", formatEvent(event) or event.get("log_failure"))
 
 
-def reload(relay: Relay) -> None:
-    """A file that can't be used changes nothing."""
-    try:
-        relay.assign(read_again(os.environ))
-    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError, BadStart) as problem:
-        relay.counters.add("configuration.refused")
-        logger.error("configuration not taken: {}", " ".join(str(problem).split()))
+class Reloads:
+    """The configuration's file, read again when that is asked for.  One that can't be used changes nothing; one that is half
+    written is looked at again, for as long as the former addresses may still answer."""
+    PAUSES = 0.1, 0.2, 0.4, 0.8, 1.6             # seconds
+
+    def __init__(self, reactor: Any, relay: Relay) -> None:
+        self.reactor, self.relay, self.timer = reactor, relay, None
+
+    def asked(self) -> None:
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        self.read(0)
+
+    def read(self, tries: int) -> None:
+        again = ""
+        try:
+            self.relay.assign(read_again(os.environ))
+        except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError, BadStart) as problem:
+            if isinstance(problem, Torn) and tries < len(self.PAUSES):
+                self.timer = self.reactor.callLater(self.PAUSES[tries], self.read, tries + 1)
+                again = f" (read again in {self.PAUSES[tries]} s)"
+            self.relay.counters.add("configuration.refused")
+            logger.error("configuration not taken: {}{}", " ".join(str(problem).split()), again)
 
 
 def operators(path: str, facts: dict[str, Any]) -> Any:
@@ -76,29 +93,22 @@
     from twisted.internet import reactor
     reactor.seconds = steady_clock()             # its timers too: a step of the wall clock must not fire or hold them
     globalLogBeginner.beginLoggingTo([network_fault], redirectStandardIO=False)
-    try:
-        relay = Relay(reactor, told, Counters(), document, time.time)
-        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload, relay))   # before any client
-        relay.start()
-    except (ArithmeticError, AttributeError, LookupError, TypeError) as problem:
-        raise BadStart(f"the settings can't be used: {type(problem).__name__}: {problem}") from None
-
-    def ended(_: None) -> None:
-        if reactor.running:
-            reactor.stop()
 
     def counted() -> None:
         relay.count_seats()
         logger.info("counters {}", relay.counters.show())
 
-    def stop(*_: Any) -> None:
-        reactor.callFromThread(lambda: relay.stop().addCallback(ended))
+    def stop() -> None:
+        if not relay.stopped:                    # a second signal asks for nothing more
+            relay.stop().addCallback(lambda _: reactor.stop())
 
-    def show(*_: Any) -> None:
-        reactor.callFromThread(counted)
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, stop)
-    signal.signal(signal.SIGUSR1, show)
+    try:
+        relay = Relay(reactor, told, Counters(), document, time.time)
+        acts = {signal.SIGHUP: Reloads(reactor, relay).asked, signal.SIGUSR1: counted, signal.SIGTERM: stop,
+                signal.SIGINT: stop}             # before any client: from then on an end is in order
+        SIGNALS.act(acts, reactor.callFromThread)
+        relay.start()
+    except (ArithmeticError, AttributeError, LookupError, TypeError) as problem:
+        raise BadStart(f"the settings can't be used: {type(problem).__name__}: {problem}") from None
     reactor.run(installSignalHandlers=False)
     return 0
--- a/tealsail/net/start.py
+++ b/tealsail/net/start.py
@@ -27,6 +27,11 @@
     state: State | None
     known: News
     facts: dict[str, Any]
+    own: tuple[str, ...] = ()                    # whose the file says it is: its name, where it listens
+
+
+class Torn(BadStart):
+    """The file is not there or no JSON: it may be being written."""
 
 
 def want(tree: Any, name: str, kind: type, default: Any = None) -> Any:
@@ -59,7 +64,7 @@
         with open(path, encoding="utf-8") as file:
             tree = json.load(file)
     except (OSError, ValueError) as problem:
-        raise BadStart(f"{path}: {problem}") from None
+        raise Torn(f"{path}: {problem}") from None
     if not isinstance(tree, dict):
         raise BadStart(f"{path}: not an object")
     rollouts = want(tree, "rollouts", dict, {})
@@ -68,7 +73,7 @@
         state = read_state(rollouts["news"]) if rollouts.get("news") else None
         known = read_news(want(tree, "known", dict, {"generation": 0, "instances": []}))
         facts = settings.facts(settings.nested(want(tree, "settings", dict)))
-    except (Unreadable, UnreadableState, ValueError, TypeError) as problem:
+    except (Unreadable, UnreadableState, ValueError, TypeError, AttributeError) as problem:
         raise BadStart(f"{path}: {problem}") from None
     try:
         check(facts)
@@ -82,4 +87,5 @@
         reached("peer_listen", want(tree, "peer_listen", str, "")),
         [reached("peers", each) for each in want(tree, "peers", list, [])],
         reached("peers_all", want(tree, "peers_all", str, "")),
-        reached("rollouts.address", want(rollouts, "address", str, "")), state, known, facts)
+        reached("rollouts.address", want(rollouts, "address", str, "")), state, known, facts,
+        tuple(str(tree.get(name, "")) for name in ("name", "listen", "peer_listen")))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -318,5 +318,83 @@
         self.assertEqual(self.relay.clients.reading_out, 0)
 
 
+class Signals(unittest.TestCase):
+    """The whole program as a process; what it reads at its start comes through a pipe that a story fills when it likes."""
+
+    def setUp(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.path = os.path.join(self.folder.name, "config.json")
+        self.port = free_port()
+        self.tree = config(listen=f"127.0.0.1:{self.port}", discovery="127.0.0.1:1", peer_listen="",
+                           rollouts={"address": "127.0.0.1:1"})
+
+    def write(self, tree: object) -> None:
+        whole = os.path.join(self.folder.name, "whole")
+        with open(whole, "w") as file:
+            file.write(tree if isinstance(tree, str) else json.dumps(tree))
+        os.replace(whole, self.path)
+
+    def process(self) -> subprocess.Popen:
+        with open("deploy/balancer.toml", "rb") as file:
+            line = tomllib.load(file)["run"].replace(".venv/bin/python", sys.executable)
+        process = subprocess.Popen(["/bin/sh", "-c", line], text=True, stderr=subprocess.PIPE,
+                                   env=os.environ | {"EDGE_CONFIG": self.path})
+        limit = threading.Timer(3 * PATIENCE, process.kill)              # then what is waited for ends, and fails
+        limit.start()
+        self.addCleanup(limit.cancel)
+        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def said(self, process: subprocess.Popen, text: str) -> str:
+        while text not in (line := process.stderr.readline()):
+            self.assertTrue(line, f"it ended without {text!r}")
+        return line
+
+    def test_a_hangup_before_anything_is_read_is_kept_and_acted_on(self) -> None:
+        """Guards against a new configuration that comes while a relay starts, and ends it."""
+        os.mkfifo(self.path)
+        process = self.process()
+        with open(self.path, "w") as file:       # opens once it wants to read: it stands there until this is closed
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGUSR1)
+            self.write(self.tree | {"discovery": "127.0.0.1:2"})         # the hangup has this one read
+            file.write(json.dumps(self.tree))
+        self.said(process, "configuration discovery=127.0.0.1:2 ")
+        process.send_signal(signal.SIGTERM)
+        self.said(process, "counters ")
+        self.assertEqual(process.wait(PATIENCE), 0)
+
+    def test_every_signal_again_while_it_ends_changes_nothing(self) -> None:
+        """Guards against an end that is asked for twice and fails for that."""
+        self.write(self.tree)
+        process = self.process()
+        self.said(process, "serving")
+        process.send_signal(signal.SIGTERM)
+        self.said(process, "stopping")
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            process.send_signal(number)
+        rest = process.stderr.read()
+        self.assertEqual(process.wait(PATIENCE), 0)
+        self.assertNotIn("network:", rest)
+        self.assertNotIn("Traceback", rest)
+        self.assertIn("configuration discovery=", rest)
+
+    def test_a_file_that_is_half_written_when_it_is_told_of_is_read_once_it_is_whole(self) -> None:
+        self.write(self.tree)
+        process = self.process()
+        self.said(process, "serving")
+        self.write(json.dumps(self.tree)[:40])
+        process.send_signal(signal.SIGHUP)
+        self.assertIn("read again in", self.said(process, "configuration not taken"))
+        self.write(self.tree | {"discovery": "127.0.0.1:2"})
+        self.said(process, "configuration discovery=127.0.0.1:2 ")
+        process.send_signal(signal.SIGTERM)
+        process.stderr.read()
+        self.assertEqual(process.wait(PATIENCE), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
