Settings of another relay or customer are not taken, nor a customer's share

Found by reading: SIGHUP took the addresses and settings out of a file of another relay (name, listener never looked at); a change that needs a restart also kept the old address of list and platform, which then fall silent; a tenant that the settings don't name was counted as the first. Now the file must say name, listen and peer_listen as at the start; other classes, customers, fleet size or index are foreign and move nothing; what else needs a restart is kept, logged, and the addresses count. Strangers share a place of no share.

--- a/tealsail/choices/switch.py
+++ b/tealsail/choices/switch.py
@@ -15,6 +15,7 @@
 FIXED = ("relays", "index", "zone", "zones", "list_mode", "exposure_span", "exposure_per", "connect_wait", "idle_time",
          "ask_within", "may_tell")
 OF_WORKLOAD = ("name", "effect", "group")
+FOREIGN = {"fleetSize", "index", "requestClasses", "tenants"}    # as the platform names them: who, and for whom
 
 
 def least_each(old: list[float], new: list[float]) -> list[float]:
@@ -58,7 +59,11 @@
 
 
 class Fixed(ValueError):
-    """Settings that differ and need a restart, by name."""
+    """Settings that differ and need a restart, by name; `foreign`: so much that they are another fleet's or customer's."""
+
+    def __init__(self, needs: list[str]) -> None:
+        super().__init__(f"{', '.join(needs)}: needs a restart")
+        self.foreign = not FOREIGN.isdisjoint(needs)
 
 
 class Quiet:
@@ -81,7 +86,7 @@
         needs a restart, or what the module raises that can't be built with them."""
         needs = fixed(self.facts, facts)
         if needs:
-            raise Fixed(f"{', '.join(needs)}: needs a restart")
+            raise Fixed(needs)
         found, fresh = changed(self.facts, facts), Relay(Quiet(), facts, 0, self.relay.now)
         if found:
             self.facts, self.fresh, self.at_hand = facts, fresh, self.open(self.relay.known)
--- a/tealsail/facade.py
+++ b/tealsail/facade.py
@@ -10,6 +10,7 @@
 from typing import Any, Callable, Iterable, NamedTuple, Union
 
 from .policy import Relay
+from .settings import NOBODY
 
 VERDICTS = ("none", "on", "hold", "back")
 PHASES = ("on trial", "going back", "released", "withdrawn")
@@ -146,7 +147,11 @@
         self.at = self.count
         return self.count, self.guarded(
             Forfeit(), self.relay.on_invocation, self.count, self.workloads[workload],
-            self.customers.get(customer, 0), key, give_up, work, repeat)
+            self.place(customer), key, give_up, work, repeat)
+
+    def place(self, customer: str) -> int:
+        """Of a customer; one that nobody listed has the place for those, not another's."""
+        return self.customers.get(customer, self.customers.get(NOBODY, 0))
 
     def report(self, news: News) -> Step:
         """Hand in what was learnt; the step is the next one of the invocation that an outcome is about."""
--- a/tealsail/net/recording.py
+++ b/tealsail/net/recording.py
@@ -36,7 +36,7 @@
 
     def taken(self, number: int, statement: "Statement", at: int) -> None:
         facade = self.relay.facade
-        customer = facade.customers.get(statement.customer, 0)
+        customer = facade.place(statement.customer)
         at -= self.zero
         self.recorder.note(Take(
             self.now(), self.own, number, at, facade.workloads[statement.workload], customer,
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -11,7 +11,7 @@
 from ..choices.clock import Clock, Stamps, disregard
 from ..choices.flood import Flood, limits
 from ..choices.pauses import WITHIN, Pauses, by_fleet, first_question
-from ..choices.switch import Switch
+from ..choices.switch import Fixed, Switch
 from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
                       Step, Units as Listing)
 from ..parts import Chance, mix
@@ -35,6 +35,10 @@
 LOOK = 1.0                                       # seconds between looks at the clocks
 
 
+class Stranger(ValueError):
+    """A configuration that was written for another relay."""
+
+
 def number_of(name: str) -> int:
     """A unit's number for its name in the list; the same in every run."""
     return int.from_bytes(blake2b(name.encode(), digest_size=7).digest(), "big")
@@ -230,16 +234,24 @@
 
     def assign(self, told: Assignment) -> None:
         """A new configuration: the settings, discovery and the platform.  Raises ValueError, and then changes nothing."""
-        names = self.switch.change(told.facts)
-        self.load_fields = told.facts.get("load_fields", [])
-        self.platform.vote_wait = told.facts.get("vote_wait", TENTHS) / TENTHS
-        self.counters.add("configuration.taken")
+        if told.own != self.told.own:
+            raise Stranger(f"of another relay: {' '.join(told.own)}")
+        try:
+            settings_now = ",".join(self.switch.change(told.facts)) or "as before"
+            self.load_fields = told.facts.get("load_fields", [])
+            self.platform.vote_wait = told.facts.get("vote_wait", TENTHS) / TENTHS
+            self.counters.add("configuration.taken")
+        except Fixed as needs:                   # the addresses still count: those of before fall silent
+            if needs.foreign:
+                raise
+            settings_now = f"kept ({needs})"
+            self.counters.add("configuration.kept")
         self.schedule()
         self.discovery.move(told.discovery)
         if told.platform:
             self.platform.move(told.platform)
         logger.info("configuration discovery={} platform={} settings={}", self.discovery.address, self.platform.address,
-                    ",".join(names) or "as before")
+                    settings_now)
 
     def take(self, statement: Statement, at: int) -> Deferred[Answer]:
         if statement.workload not in self.facade.workloads:
--- a/tealsail/settings.py
+++ b/tealsail/settings.py
@@ -38,6 +38,7 @@
                                   "tally_every", "longest_advice", "answer_slack", "ask_within",
                                   "drain_grace", "news_every", "connect_wait", "idle_time")}
 TIMES.update({name: ceil for name in ("exposure_span", "fall_span", "warm_up", "tick")})
+NOBODY = ""                                       # a customer that the settings do not name
 LIST_VALUES = {"caps", "stage_shares", "load_fields", "zones"}
 
 
@@ -105,4 +106,6 @@
                 items[int(parts[1])][name] = named(name, value)
         elif path in NAMES:
             known[NAMES[path]] = named(NAMES[path], value)
+    if known.get("customers"):                   # whoever else asks: not on the account of one that is listed
+        known["customers"].append({"name": NOBODY, "share": 0})
     return known
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -318,6 +318,49 @@
         self.assertEqual(self.relay.clients.reading_out, 0)
 
 
+class NewSettings(Crossing):
+    def changed(self, **more: object) -> None:
+        self.relay.assign(told(self.tree | more))
+
+    def test_a_file_of_another_relay_or_customer_moves_nothing(self) -> None:
+        self.started()
+        settings, elsewhere = self.tree["settings"], {"discovery": "127.0.0.1:7"}
+        others = [{"name": "n7"}, {"listen": "127.0.0.8:5432"}, {"peer_listen": "127.0.0.8:7946"},
+                  {"settings": settings | {"requestClasses": settings["requestClasses"][::-1]}},
+                  {"settings": settings | {"requestClasses": settings["requestClasses"][:1]}},
+                  {"settings": settings | {"tenants": [{"name": "umbrella", "share": 1}]}},
+                  {"settings": settings | {"fleetSize": 3}}]
+        for other in others:
+            before = dict(self.relay.facade.relay.facts)
+            with self.subTest(list(other)), self.assertRaises(ValueError):
+                self.changed(**elsewhere, **other, rollouts=self.tree["rollouts"])
+            self.assertEqual(self.relay.facade.relay.facts, before)
+            self.assertEqual(self.relay.discovery.address, self.tree["discovery"])
+
+    def test_what_needs_a_restart_is_kept_and_the_addresses_count(self) -> None:
+        """Guards against a relay that stays with a list which nobody keeps up, for the sake of a time that it can't take."""
+        self.started()
+        settings = self.tree["settings"]
+        before = dict(self.relay.facade.relay.facts)
+        there = self.listening()
+        self.changed(discovery="127.0.0.1:%d" % there.getsockname()[1],
+                     settings=settings | {"limits": settings["limits"] | {"dialTimeout": 400, "maxAttempts": 1}})
+        self.assertEqual(self.relay.facade.relay.facts, before)
+        self.assertEqual(self.relay.counters.counts["configuration.kept"], 1)
+        self.got(self.accept(there), b"\r\n\r\n")
+
+    def test_a_customer_that_the_settings_do_not_name_is_on_nobodys_account(self) -> None:
+        """Guards against a stranger that uses up the share of whoever is listed first."""
+        self.started()
+        client = self.connect()
+        client.sendall(asking(wait=3000).replace(b"t=acme", b"t=evil"))
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.got(client, IDLE), ROW + IDLE)
+        listed, strange = self.relay.facade.relay.admission.by_customer
+        now = self.relay.facade.relay.now
+        self.assertEqual((listed.total(now), strange.total(now)), (0, 1))
+
+
 class Signals(unittest.TestCase):
     """The whole program as a process; what it reads at its start comes through a pipe that a story fills when it likes."""
 
