A watch that falls silent is replaced before what it misses counts as told

At fault: discovery.SLACK of 2.0 s, so the next connection began when it counted already, and the drain's grace (0.25 to 1 s) had to bear connecting and asking. 1.0 s now. A reply in drops got another second with each piece, without end; 3 s for all of it now.

Stories in tests/test_crossings.py on real kernel sockets, the crossing forced; each was run with its hunk taken out and failed then. Fail without: slack, bound on a whole reply.

--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -11,8 +11,10 @@
 from .kept import Ended, Kept
 
 LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 8 * 1024 * 1024
-WATCH, SLACK, FIRST_WAIT = 20.0, 2.0, 4.0        # seconds: a watch's wait, ours beyond it, and a plain call's
-PART = 1.0                                       # seconds for the rest of a reply that has begun
+# seconds: a watch's wait, ours beyond it, and a plain call's.  What a silent watch misses counts as told 2 s after its wait:
+# by then another answer must have come, so half of that is waited for and half is left for the next connection.
+WATCH, SLACK, FIRST_WAIT = 20.0, 1.0, 4.0
+PART, WHOLE = 1.0, 3.0                           # seconds for the next piece of a reply that has begun; for all of it
 STATES = ("ready", "draining", "gone")
 
 
@@ -192,6 +194,7 @@
 
     def __init__(self, discovery: "Discovery") -> None:
         self.discovery, self.replies = discovery, Replies()
+        self.since: float | None = None          # when the reply at hand began
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -205,11 +208,15 @@
             return
         try:
             for reply in self.replies.feed(data):
+                self.since = None
                 if reply.last:
                     self.end("turned_away" if reply.turned_away() else "last")
                 self.discovery.came(self, reply)
             if self.replies.begun() and self is self.discovery.caller and not self.code:
-                self.discovery.expect(PART)      # not a watch's wait: this is no pause of an agent in order
+                now = self.discovery.reactor.seconds()
+                self.since = now if self.since is None else self.since
+                # not a watch's wait: this is no pause of an agent in order; nor for ever, in however small pieces
+                self.discovery.expect(min(PART, max(0.0, self.since + WHOLE - now)))
         except Unreadable as problem:
             self.unreadable(str(problem))
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -318,6 +318,43 @@
         self.assertEqual(self.relay.clients.reading_out, 0)
 
 
+class AtTheList(Crossing):
+    def agent(self) -> socket.socket:
+        agent = self.accept(self.agent_side)
+        self.got(agent, b"\r\n\r\n")
+        return agent
+
+    def test_a_watch_that_falls_silent_is_replaced_before_what_it_misses_counts_as_told(self) -> None:
+        """Guards against shots at a unit whose end was told on a watch that never answers: it counts 2 s after its wait."""
+        self.started()
+        agent = self.agent()
+        here = {"hostPort": "127.0.0.1:%d" % self.unit_side.getsockname()[1]}
+        agent.sendall(reply(listing(42, True, unit(1) | here)))
+        self.got(agent, b"\r\n\r\n")
+        self.pass_time(20.9)
+        self.assertEqual(select.select([self.agent_side], [], [], 0)[0], [])
+        self.pass_time(0.5)
+        new = self.agent()
+        new.sendall(reply(listing(43, False, unit(1, lifecycle="draining") | here)))
+        self.got(new, b"\r\n\r\n")
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        self.assertIn(b"C53300\0", self.got(client, IDLE))
+
+    def test_a_reply_that_comes_in_drops_is_given_up(self) -> None:
+        """Guards against an agent that never ends what it began: each piece would give it another second."""
+        self.started()
+        agent = self.agent()
+        whole = reply(listing(42, True))
+        for place in range(0, 5):
+            agent.sendall(whole[place:place + 1])
+            self.pass_time(0.9)
+            if self.relay.counters.counts["discovery.ended.silent"]:
+                break
+        self.assertEqual(self.relay.counters.counts["discovery.ended.silent"], 1)
+        self.agent()
+
+
 class NewSettings(Crossing):
     def changed(self, **more: object) -> None:
         self.relay.assign(told(self.tree | more))
