A second answer some ms late is not taken for the next query's

At fault: Pool.idle_one hands out a connection in the ms in which it has answered; the empty query is answered before the late row. Now a connection rests 20 ms behind an answer; another, or a new one, is used meanwhile. tests/test_units.py lets 20 ms pass before each shot, its assertions unchanged.

Fails without: rest of 0.

--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -14,6 +14,7 @@
 
 USER, DATABASE, LOAD = b"backend", b"store", b"stats"
 BEYOND = 1e6                                     # no figure of a load report
+REST = 0.02                                      # seconds: nothing that belongs to an answer comes later than that behind it
 
 
 class Came(NamedTuple):
@@ -50,6 +51,7 @@
         self.result: Came | None = None          # of the shot; told with the load report, at ReadyForQuery
         self.stopped: Came | None = None         # what to tell of a shot that is waited for no longer
         self.idle_since = 0.0
+        self.answered_at = 0.0                   # when the last answer was whole
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -114,6 +116,7 @@
             case messages.Trouble(code, _) if not self.result:
                 self.result = Came("full" if code == b"53300" else "error")
             case messages.Ready() if self.result:
+                self.answered_at = self.pool.reactor.seconds()
                 self.finish(self.result)
                 self.pool.free(self)
             case _:
@@ -242,12 +245,18 @@
         self.units, self.address = units, address
         self.reactor, self.counters = units.reactor, units.counters
         self.load: dict[str, float] | None = None
-        self.idle: list[Connection] = []         # the one used last is used first
+        self.idle: list[Connection] = []         # the one used last stands last
         self.all: dict[Connection, None] = {}
         self.closed = False
 
     def idle_one(self) -> Connection | None:
-        return self.idle.pop() if self.idle else None
+        """The one used last that has rested: a second answer to the same query may come some ms behind the first, and would
+        be taken for the next one's."""
+        rested = self.reactor.seconds() - REST
+        for place in range(len(self.idle) - 1, -1, -1):
+            if self.idle[place].answered_at <= rested:
+                return self.idle.pop(place)
+        return None
 
     def open(self) -> Deferred[Connection]:
         """A new connection, set up within the time for that; it fails as `unreachable` or `full`."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -318,6 +318,47 @@
         self.assertEqual(self.relay.clients.reading_out, 0)
 
 
+class AtTheUnits(Crossing):
+    def test_a_second_answer_some_ms_late_is_not_the_next_querys(self) -> None:
+        """Guards against a row that no unit made for the query: a second answer to the one before, behind the empty query's."""
+        self.started()
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        inside = self.shot()
+        inside.sendall(row(b"first") + IDLE)
+        self.assertEqual(self.got(client, IDLE), row(b"first") + IDLE)
+        self.now += 0.002
+        client.sendall(asking(wait=3000, name="other"))
+        self.until(lambda: select.select([inside, self.unit_side], [], [], 0)[0])
+        if select.select([inside], [], [], 0)[0]:
+            inside.sendall(NOTHING)              # whether it is still there; and then the query
+            self.got(inside, b"*/\0")
+        other = self.shot() if select.select([self.unit_side], [], [], 0)[0] else inside
+        inside.sendall(row(b"first") + IDLE)
+        other.sendall(row(b"other") + IDLE)
+        self.assertEqual(self.got(client, IDLE), row(b"other") + IDLE)
+
+    def test_a_reset_before_the_last_byte_is_no_shot_and_one_behind_it_may_have_run(self) -> None:
+        for whole, code in ((False, b"C53300\0"), (True, b"C58000\0")):
+            with self.subTest(whole=whole):
+                self.port = free_port()
+                self.started()
+                client = self.connect()
+                client.sendall(asking(wait=3000, workload="order"))
+                inside = self.accept(self.unit_side)
+                if whole:
+                    inside.sendall(GREETING)
+                    self.got(inside, b"*/\0")
+                self.relay.discovery.stop()
+                for each in list(self.relay.units.pools):
+                    if not whole:
+                        self.relay.units.unlisted(each)
+                        self.relay.facade.relay.units.clear()
+                inside.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                inside.close()
+                self.assertIn(code, self.got(client, IDLE))
+
+
 class AtTheList(Crossing):
     def agent(self) -> socket.socket:
         agent = self.accept(self.agent_side)
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -19,6 +19,7 @@
         self.stands = True
 
     def shoot(self, number: int = 1, wait: float = 1.0) -> list[units.Came]:
+        self.reactor.advance(units.REST)         # what has answered a moment ago is not taken again
         shot = self.units.shoot(number, lambda: b"text", wait, lambda: self.stands)
         self.shot, came = shot, []
         shot.done.addCallback(came.append)
