The first query of a new process waits for the list that counts from its first moment

Now the port listens but nobody is taken in until the first list or 0.25 s (an agent that is down says nothing; the old copy has to do then). Only where the list is asked for at once; asked-for lists begin as before. Three stories: the list in time, the list silent, SIGTERM before either.

--- a/tealsail/choices/pauses.py
+++ b/tealsail/choices/pauses.py
@@ -10,6 +10,7 @@
 # away as one of too many, and then at the most
 WITHIN = 10.0                                    # seconds within which lists are asked for, where the platform does not say
 PART = 0.4                                       # of the time within which a relay has to ask, for the mean of its pauses
+UNTOLD = 0.25                                    # seconds for which a relay that starts holds its door for the list it asked for
 LEAST, WIDTH = 0.1, 1.8                          # a pause is drawn evenly from this part of its bound, and so wide
 
 
--- a/tealsail/net/kernel.py
+++ b/tealsail/net/kernel.py
@@ -13,6 +13,13 @@
         return False
 
 
+def hold(port: Any, held: bool) -> None:
+    """Whether who comes waits in the kernel; there is room for as many as the port was made for."""
+    turn = getattr(port, "stopReading" if held else "startReading", None)
+    if turn:                                     # ports in memory have no kernel behind them
+        turn()
+
+
 def take_in(port: Any, count: Callable[[], int]) -> None:
     """Accept all that a listening port holds; `count` tells how many have been accepted so far."""
     accept = getattr(port, "doRead", None)       # ports in memory have no kernel behind them
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -11,7 +11,7 @@
 from ..choices.clock import Clock, Stamps, disregard
 from ..choices.endings import enough
 from ..choices.flood import Flood, limits
-from ..choices.pauses import WITHIN, Pauses, by_fleet, first_question
+from ..choices.pauses import UNTOLD, WITHIN, Pauses, by_fleet, first_question
 from ..choices.switch import Fixed, Switch
 from ..facade import (Counted, Departed, Facade, Forfeit, Heard, Listed, Outcome, Reject, Shoot, Standing,
                       Step, Units as Listing)
@@ -20,7 +20,8 @@
 from .clients import Answer, Clients, Forfeited, Rejected
 from .counters import Counters
 from .discovery import Discovery, Entry, News
-from .kernel import take_in
+from .kernel import hold, take_in
+from .kept import cancel
 from .peers import Peers, pair
 from .platform import Platform, State
 from .start import Assignment
@@ -163,6 +164,7 @@
         self.serving: dict[int, Serving] = {}
         self.ids: set[bytes] = set()             # of those that are being served
         self.door: Any = None                    # where clients come in
+        self.holding: Any = None                 # the timer of a door that is held until the list has come
         self.post: Any = None                    # where notes come in
         self.enough = 0                          # when nothing is waited for any longer, once it ends
         self.timer: Any = None
@@ -182,11 +184,11 @@
         if self.told.peer_listen:
             host, port = pair(self.told.peer_listen)
             self.post = self.reactor.listenUDP(port, self.peers, host, maxPacketSize=2048)
+        host, port = pair(self.told.listen)
+        self.door = self.reactor.listenTCP(port, self.clients, 512, host)
         self.watch()
         if self.told.platform:
             self.platform.start()
-        host, port = pair(self.told.listen)
-        self.door = self.reactor.listenTCP(port, self.clients, 512, host)
         logger.info("serving name={} listen={} units={}", self.told.name, self.told.listen,
                     len(self.told.known.entries))
         self.looking = self.reactor.callLater(LOOK, self.look)
@@ -195,7 +197,20 @@
     def watch(self) -> None:
         known = self.told.known
         wait = first_question(self.chance, *self.fleet, self.told.facts.get("list_mode") == "on_request", bool(known.entries))
-        self.discovery.start() if wait is None else self.discovery.begin(known.version, wait)
+        if wait is not None:
+            return self.discovery.begin(known.version, wait)
+        # what is asked for at once counts as told from this process's first moment: whoever comes before it waits in the
+        # kernel, for some ms; where nothing comes, or not soon, the old copy has to do
+        self.holding = self.reactor.callLater(UNTOLD, self.open)
+        hold(self.door, True)
+        self.discovery.start()
+
+    def open(self) -> None:
+        """Clients may come in."""
+        if self.holding:
+            cancel(self.holding)
+            self.holding = None
+            hold(self.door, False)
 
     def look(self) -> None:
         """Steps of the wall clock are told and move nothing."""
@@ -276,6 +291,8 @@
         if self.record:
             self.record.listed(entries)
         self.facade.report(Listing(kind, [self.entry(entry) for entry in entries]))
+        if kind != "old copy":
+            self.open()
         self.schedule()
 
     def entry(self, entry: Entry) -> Listed:
@@ -350,6 +367,7 @@
     def leave(self) -> None:
         """The door closes behind all that the kernel has let in: what they asked is ours.  Notes still come, since those
         who are served to the end may need another relay's word."""
+        self.open()
         take_in(self.door, lambda: self.counters.counts["clients.connections"])
         self.door.stopListening()
         self.clients.stop_sweeping()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,6 +20,7 @@
 
 from twisted.internet.epollreactor import EPollReactor
 
+from tealsail.choices.pauses import UNTOLD
 from tealsail.net.relay import LAST, LINGER, Relay
 
 from .fake import GREETING, IDLE, OPENING, ROW, asking, field
@@ -54,7 +55,8 @@
         self.addCleanup(server.close)
         return server
 
-    def started(self, *units: dict, **more: object) -> Relay:
+    def started(self, *units: dict, held: bool = False, **more: object) -> Relay:
+        """`held`: in its first instant, when its list has not come yet; else with its door open."""
         here = {"hostPort": "127.0.0.1:%d" % self.unit_side.getsockname()[1]}
         tree = config(listen=f"127.0.0.1:{self.port}", peer_listen=f"127.0.0.1:{free_port()}",
                       discovery="127.0.0.1:%d" % self.agent_side.getsockname()[1],
@@ -65,6 +67,8 @@
         self.relay.start()
         self.addCleanup(self.reactor.removeAll)
         self.addCleanup(self.everything_closed)
+        if not held:
+            self.later(UNTOLD)
         return self.relay
 
     def everything_closed(self) -> None:
@@ -392,6 +396,40 @@
         self.agent()
 
 
+    def first_query(self) -> socket.socket:
+        """A query that waits in the kernel of a relay which has just begun, and the loop has gone round many times."""
+        self.started(held=True)
+        client = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(client.close)
+        client.sendall(OPENING + asking(wait=3000))
+        for _ in range(20):
+            self.turn()
+        return client
+
+    def test_the_first_query_of_a_new_process_waits_for_the_list_that_counts_already(self) -> None:
+        """Guards against a shot at a unit that was drained while this relay was down: what its agent has counts as told."""
+        client = self.first_query()
+        here = {"hostPort": "127.0.0.1:%d" % self.unit_side.getsockname()[1]}
+        self.agent().sendall(reply(listing(42, True, unit(1, lifecycle="draining") | here)))
+        self.assertIn(b"C53300\0", self.got(client, IDLE))
+        self.assertEqual(select.select([self.unit_side], [], [], 0)[0], [])
+
+    def test_a_list_that_says_nothing_holds_the_door_for_a_moment_only(self) -> None:
+        client = self.first_query()
+        self.later(UNTOLD)
+        self.shot().sendall(ROW + IDLE)
+        self.assertTrue(self.got(client, ROW + IDLE).endswith(ROW + IDLE))
+
+    def test_a_relay_that_ends_before_its_list_came_serves_who_waits(self) -> None:
+        client = self.first_query()
+        ended: list[None] = []
+        self.relay.stop().addCallback(ended.append)
+        self.now += LINGER
+        self.turn()
+        self.shot().sendall(ROW + IDLE)
+        self.assertTrue(self.to_the_end(client).endswith(ROW + IDLE))
+
+
 class NewSettings(Crossing):
     def changed(self, **more: object) -> None:
         self.relay.assign(told(self.tree | more))
