A shot whose unit moves while its connection comes up goes to where the unit is now

Found by reading, then forced on real sockets (story failed before: the query was written to the former address): the list gives a listed unit, same build and start, another address while a connection to the former one is being set up. At fault: Shot.opened asked only whether the unit still stands (Facade.stands knows numbers, not addresses); its pool was closed already. Now a closed pool's shot is moot, and is picked again.

--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -201,7 +201,7 @@
         self.settle()
         if self.over:
             self.pool.free(connection)
-        elif not self.stands():
+        elif self.pool.closed or not self.stands():      # the same unit may be at another address by now
             self.pool.free(connection)
             self.end(Came("moot"))
         else:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -131,16 +131,24 @@
             seen += data
         return seen
 
-    def to_the_end(self, sock: socket.socket) -> bytes:
-        """Raises ConnectionResetError where the end is none in order."""
-        seen = b""
+    def to_the_end(self, sock: socket.socket, seen: bytearray | None = None) -> bytes:
+        """Raises ConnectionResetError where the end is none in order; what came before it is in `seen`."""
+        seen = bytearray() if seen is None else seen
         while True:
             self.until(lambda: select.select([sock], [], [], 0)[0])
             data = sock.recv(1 << 16)
             if not data:
-                return seen
+                return bytes(seen)
             seen += data
 
+    def ended(self, sock: socket.socket) -> bytes:
+        """All up to the end, in order or not."""
+        seen = bytearray()
+        try:
+            return self.to_the_end(sock, seen)
+        except ConnectionResetError:
+            return bytes(seen)
+
     def in_kernel(self, client: socket.socket) -> None:
         """What that client wrote waits at the relay's end, unread."""
         here = next(each for each in self.relay.clients.connections
@@ -331,6 +339,107 @@
         other.sendall(row(b"other") + IDLE)
         self.assertEqual(self.got(client, IDLE), row(b"other") + IDLE)
 
+    def there(self, server: socket.socket, build: int = 41, lifecycle: str = "ready") -> dict:
+        return unit(1, build=build, lifecycle=lifecycle) | {"hostPort": "127.0.0.1:%d" % server.getsockname()[1]}
+
+    def told(self, *entries: dict) -> None:
+        """A change of the list, read before anything else."""
+        agent = self.accept(self.agent_side)
+        self.got(agent, b"\r\n\r\n")
+        agent.sendall(reply(listing(42, False, *entries)))
+        self.until(lambda: self.relay.counters.counts["discovery.list.changes"])
+
+    def test_a_unit_that_moves_while_a_connection_comes_up_is_asked_where_it_is_now(self) -> None:
+        """Guards against a shot at an address that is listed no longer, under a number that is."""
+        self.started()
+        elsewhere = self.listening()
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        former = self.accept(self.unit_side)
+        self.told(self.there(elsewhere))
+        former.sendall(GREETING)
+        inside = self.accept(elsewhere)
+        inside.sendall(GREETING)
+        self.got(inside, b"*/\0")
+        inside.sendall(ROW + IDLE)
+        self.assertEqual(self.got(client, IDLE), ROW + IDLE)
+        self.assertNotIn(b"SELECT", self.ended(former))
+
+    def test_a_unit_gone_and_back_in_one_answer_is_the_one_that_came_last(self) -> None:
+        self.started()
+        elsewhere = self.listening()
+        self.told(self.there(self.unit_side, lifecycle="gone"), self.there(elsewhere, build=42))
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        inside = self.accept(elsewhere)
+        inside.sendall(GREETING)
+        self.got(inside, b"*/\0")
+        inside.sendall(ROW + IDLE)
+        self.assertEqual(self.got(client, IDLE), ROW + IDLE)
+        self.assertEqual(select.select([self.unit_side], [], [], 0)[0], [])
+
+    def test_a_connection_that_comes_up_when_its_shot_is_over_carries_nothing(self) -> None:
+        self.started()
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        inside = self.accept(self.unit_side)
+        client.close()
+        self.until(lambda: self.relay.counters.counts["clients.left"])
+        inside.sendall(GREETING)
+        self.until(lambda: any(pool.idle for pool in self.relay.units.pools.values()))
+        self.relay.units.forget_idle()
+        self.assertNotIn(b"SELECT", self.ended(inside))
+
+    def test_a_client_that_leaves_in_the_turn_of_its_answer_costs_nobody_else_anything(self) -> None:
+        """The answer and the client's reset wait in the kernel together; the next client is served as ever."""
+        self.started()
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        inside = self.shot()
+        inside.sendall(ROW + IDLE)
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.close()
+        self.until(lambda: self.relay.counters.counts["clients.connections"] and not self.relay.clients.connections)
+        self.pass_time(0.1)
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        other = inside if self.relay.units.held() else self.accept(self.unit_side)
+        if other is not inside:
+            other.sendall(GREETING)
+        self.answer_checks(other)
+        other.sendall(ROW + IDLE)
+        self.assertEqual(self.got(client, IDLE), ROW + IDLE)
+        self.assertEqual(self.relay.counters.counts["faults"], 0)
+
+    def answer_checks(self, inside: socket.socket) -> None:
+        """All up to the query; a check before it is answered."""
+        seen = b""
+        while not seen.endswith(b"*/\0"):
+            self.until(lambda: select.select([inside], [], [], 0)[0])
+            seen += inside.recv(1 << 16)
+            if seen.endswith(EMPTY):
+                inside.sendall(NOTHING)
+
+    def test_spoilt_answers_lists_and_notes_end_nothing_but_themselves(self) -> None:
+        self.started()
+        client = self.connect()
+        client.sendall(asking(wait=3000, workload="order"))
+        self.shot().sendall(field(b"T", b"\xff\xff"))
+        self.assertIn(b"C58000\0", self.got(client, IDLE))
+        agent = self.accept(self.agent_side)
+        self.got(agent, b"\r\n\r\n")
+        agent.sendall(reply({"generation": "x", "instances": [7]}))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as post:
+            for spoilt in (b"", b"\0", bytes(300), b"\xff" * 256):
+                post.sendto(spoilt, ("127.0.0.1", int(self.tree["peer_listen"].split(":")[1])))
+        self.until(lambda: self.relay.counters.counts["discovery.unreadable"])
+        self.pass_time(0.3)
+        client.sendall(asking(wait=3000))
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.got(client, IDLE), ROW + IDLE)
+        counts = self.relay.counters.counts
+        self.assertEqual((counts["faults"], self.relay.facade.faults, counts["units.unreadable"]), (0, 0, 1))
+
     def reset_under(self, size: int) -> bytes:
         """What a client is told whose one-shot query of so many bytes is on its way when the unit's side is reset."""
         self.started()
