A kept connection is never used in the last quarter of the time after which its unit ends it

Suspicion of the issue, "idle time of 0.3 s": Units.trimming looked at idle connections once a second and ended those beyond half of the idle time (or all but 2 s of it), so with an idle time under 2 s a query could be written in the very instant in which the unit's machine ends the connection, a reset, and with a one-shot a forfeit. Forced on real sockets (idle 0.3 s, asked again after 0.29 s: same connection before, a new one now; fails with the look fixed at 1 s). Looks are a quarter of the idle time apart now, 1 s at most, as before from 4 s on; figures moved to choices/endings.py.

--- a/tealsail/choices/endings.py
+++ b/tealsail/choices/endings.py
@@ -4,6 +4,7 @@
 ENOUGH = 30_000                                  # tenths of a ms behind the door's close, or the longest deadline if that is later
 UNUSED = 3_000                                   # within which one that was just welcomed asks, or connections may be idle in a crowd
 REST = 0.02                                      # seconds: nothing that belongs to an answer comes later than that behind it
+LOOK, SOONEST = 1.0, 0.01                        # seconds, most and least, between looks at unused connections to units
 AGAIN = 0.1, 0.2, 0.4, 0.8, 1.6                  # seconds to the next looks at a file that is half written: within the 4 s in which
 # the former addresses may still answer
 
@@ -19,6 +20,13 @@
     return not half and not (new and idle < UNUSED)
 
 
+def unused(idle: float) -> tuple[float, float]:
+    """How long a kept connection may stand unused, and between looks at that, in seconds, where the unit's machine ends it
+    after `idle` seconds: with both together it is never used in the last quarter, or second, of them."""
+    look = min(LOOK, max(SOONEST, 0.25 * idle))
+    return max(0.5 * idle, idle - 2 * look), look
+
+
 def rested(answered: Sequence[float], now: float) -> int | None:
     """Which of the idle connections, the one used last standing last, takes the next shot; `answered` is when each was last
     answered, in seconds.  A second answer to the same query may come some ms behind the first, and would be taken for the
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -7,7 +7,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from ..choices.endings import rested
+from ..choices.endings import rested, unused
 from . import messages
 from .counters import Counters
 from .kept import Ended
@@ -315,12 +315,12 @@
 
 class Units:
     """All units that are listed: number -> pool."""
-    TRIM = 1.0
 
     def __init__(self, reactor: Any, counters: Counters, connect_wait: float, idle_time: float,
                  most: int) -> None:
         self.reactor, self.counters = reactor, counters
-        self.connect_wait, self.idle_time, self.most = connect_wait, idle_time, most
+        self.connect_wait, self.most = connect_wait, most
+        self.unused, self.looks = unused(idle_time)
         self.pools: dict[int, Pool] = {}
         self.marks: dict[int, tuple] = {}        # what a listed unit is: address, build and start
         self.old: dict[Pool, None] = {}          # of units that have left, with shots still out
@@ -376,6 +376,6 @@
         """Idle connections end well before the unit's machine would end them."""
         now = self.reactor.seconds()
         for pool in self.pools.values():
-            pool.trim(now - max(0.5 * self.idle_time, self.idle_time - 2 * self.TRIM))
+            pool.trim(now - self.unused)
         self.old = {pool: None for pool in self.old if pool.all}
-        self.timer = self.reactor.callLater(self.TRIM, self.trimming)
+        self.timer = self.reactor.callLater(self.looks, self.trimming)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -365,6 +365,22 @@
         self.assertEqual(self.got(client, IDLE), ROW + IDLE)
         self.assertNotIn(b"SELECT", self.ended(former))
 
+    def test_a_unit_that_ends_idle_connections_soon_gets_no_query_on_one_that_it_is_about_to_end(self) -> None:
+        """Guards against one look a second at connections that the unit's machine ends after a third of one."""
+        settings = config()["settings"]
+        self.started(settings=settings | {"limits": settings["limits"] | {"connIdle": 300}})
+        client = self.connect()
+        client.sendall(asking(wait=3000))
+        inside = self.shot()
+        inside.sendall(ROW + IDLE)
+        self.got(client, IDLE)
+        for _ in range(29):
+            self.later(0.01)
+        client.sendall(asking(wait=3000))
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.got(client, IDLE), ROW + IDLE)
+        self.assertNotIn(b"Q", self.ended(inside))
+
     def test_a_unit_gone_and_back_in_one_answer_is_the_one_that_came_last(self) -> None:
         self.started()
         elsewhere = self.listening()
