Who was welcomed just before a relay's door closes still asks

Symptom, forced on real sockets: a connection that was welcomed in the last instant before the door closes, its first query on the way, was ended as idle; its client has no door left to come again to, and a new connection closed with no answer counts against the relay. At fault: Client.leave_off gave 0.3 s to ask only to connections welcomed behind the door's close (`late`), a flag that is gone now: whoever has never asked and is younger than 0.3 s.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -75,7 +75,6 @@
         self.queue: deque[Asked | bytes | Ending] = deque()      # bytes: an answer that is known already
         self.waiting: Deferred[Answer] | None = None
         self.welcome = True                      # False: there is no room for it
-        self.late = False                        # welcomed while this relay is ending already
         self.reading_out, self.cutting = False, None             # our half has ended; the timer of the other's end
         self.skipping = self.working = self.clogged = self.deaf = self.resting = False
         self.held = 0                            # bytes of the queue
@@ -121,7 +120,7 @@
             case messages.Startup() if not self.welcome:
                 self.hold(Ending("full", messages.trouble(FULL, "too many connections", fatal=True)))
             case messages.Startup():
-                self.splitter.typed, self.late = True, self.clients.closing
+                self.splitter.typed = True
                 self.hold(messages.WELCOME)
 
     def came(self, what: messages.Query | messages.Extended | messages.Copied | messages.Terminate) -> None:
@@ -182,9 +181,9 @@
 
     def leave_off(self) -> None:
         """This relay is ending: the end of an idle connection, not over a query in the kernel, which is ours already."""
-        new, now = not self.asked and (self.late or not self.splitter.typed), self.clients.clock()
+        now = self.clients.clock()
         mute = self.mute(now)
-        if self.free() and (mute or leaves_off(new, now - self.idle_since, bool(self.half_since))):
+        if self.free() and (mute or leaves_off(not self.asked, now - self.idle_since, bool(self.half_since))):
             self.end("mute" if mute else "closing")
 
     def answer(self, text: bytes, at: int) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -202,6 +202,27 @@
         self.shot().sendall(ROW + IDLE)
         self.assertEqual(self.to_the_end(client), ROW + IDLE)
 
+    def test_who_was_welcomed_just_before_the_door_closes_still_asks(self) -> None:
+        """Guards against an end between the welcome and a query that is on its way: there is no door left for it to come again.
+        One that says nothing for longer is ended."""
+        self.started()
+        ended = self.leaving()
+        clients = [socket.create_connection(("127.0.0.1", self.port)) for _ in range(2)]
+        for client in clients:
+            self.addCleanup(client.close)
+            client.sendall(OPENING)
+            self.got(client, IDLE)
+        self.later(0.002)
+        clients[0].sendall(asking(wait=3000))
+        self.shot().sendall(ROW + IDLE)
+        self.assertEqual(self.to_the_end(clients[0]), ROW + IDLE)
+        clients[0].close()
+        self.pass_time(0.3 + LAST)
+        self.assertEqual(self.to_the_end(clients[1]), b"")
+        clients[1].close()
+        self.pass_time(3 * LAST)
+        self.assertEqual(len(ended), 1)
+
     def test_half_a_query_is_waited_for_but_not_for_ever(self) -> None:
         self.started()
         kept, lost = self.connect(), self.connect()
