The whole program, stopped while an answer, two queries and SIGTERM wait for it, answers all

A story of the issue ("stop it, put all that shall cross into the kernel's buffers, let it go on") with `run` as a process: SIGSTOP with one invocation out; its answer, a query on an idle connection, a new connection with a query and SIGTERM laid into the kernel; SIGCONT. All three are answered, exit code 0, no fault in the log.

--- a/tests/fake.py
+++ b/tests/fake.py
@@ -196,6 +196,6 @@
     return field(b"E", f"SERROR\0C{code}\0Mno\0\0".encode())
 
 
-def asking(wait: int = 480, more: str = "", workload: str = "basket", name: str = "7f3a") -> bytes:
-    text = f"SELECT content FROM kv WHERE name = '{name}' /* id=9b1f,c={workload},t=acme,d={wait}{more} */"
+def asking(wait: int = 480, more: str = "", workload: str = "basket", name: str = "7f3a", number: str = "9b1f") -> bytes:
+    text = f"SELECT content FROM kv WHERE name = '{name}' /* id={number},c={workload},t=acme,d={wait}{more} */"
     return field(b"Q", text.encode() + b"\0")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -696,6 +696,72 @@
         process.stderr.read()
         self.assertEqual(process.wait(PATIENCE), 0)
 
+    def client(self, data: bytes) -> socket.socket:
+        client = socket.create_connection(("127.0.0.1", self.port), PATIENCE)
+        self.addCleanup(client.close)
+        client.sendall(data)
+        return client
+
+    def seen(self, sock: socket.socket, last: bytes) -> bytes:
+        seen = b""
+        while not seen.endswith(last):
+            data = sock.recv(1 << 16)
+            self.assertTrue(data, seen)
+            seen += data
+        return seen
+
+    def answer(self, server: socket.socket, queries: int) -> None:
+        """A unit that answers so many."""
+        inside: dict[socket.socket, bytes] = {}
+        while queries:
+            ready = select.select([server, *inside], [], [], PATIENCE)[0]
+            self.assertTrue(ready, f"{queries} queries did not come")
+            for sock in ready:
+                if sock is server:
+                    new = server.accept()[0]
+                    self.addCleanup(new.close)
+                    new.sendall(GREETING)
+                    inside[new] = b""
+                elif not (data := sock.recv(1 << 16)):
+                    del inside[sock]
+                else:
+                    inside[sock] += data
+                    if inside[sock].endswith(b"*/\0"):
+                        inside[sock], queries = b"", queries - 1
+                        sock.sendall(ROW + IDLE)
+                    elif inside[sock].endswith(EMPTY):
+                        sock.sendall(NOTHING)
+
+    def test_what_crosses_a_stopped_process_and_its_end_is_all_answered(self) -> None:
+        """An answer, a query on an idle connection, one on a new connection and SIGTERM all wait in the kernel; it goes on then."""
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        self.write(self.tree | {"known": listing(41, True, unit(1) | {"hostPort": "127.0.0.1:%d" % server.getsockname()[1]})})
+        process = self.process()
+        self.said(process, "serving")
+        busy, idle = self.client(OPENING + asking(wait=20000)), self.client(OPENING + EMPTY)
+        self.seen(idle, NOTHING)
+        inside = server.accept()[0]
+        self.addCleanup(inside.close)
+        inside.sendall(GREETING)
+        self.seen(inside, b"*/\0")
+        process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+        inside.sendall(ROW + IDLE)
+        idle.sendall(asking(wait=20000, number="9b2f"))
+        late = self.client(OPENING + asking(wait=20000, number="9b3f"))
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGCONT)
+        self.answer(server, 2)
+        for client in (busy, idle, late):
+            self.assertTrue(self.seen(client, ROW + IDLE).endswith(ROW + IDLE))
+            client.close()
+        rest = process.stderr.read()
+        self.assertEqual(process.wait(PATIENCE), 0)
+        self.assertIn("clients.value=3", rest)
+        for word in ("Traceback", "network:", "fault"):
+            self.assertNotIn(word, rest)
+
 
 if __name__ == "__main__":
     unittest.main()
