A front that asks an ending relay whether it is ready is not told that it is

A consequence of the door that stays open, looked for before it was met: an empty query on a connection made while this relay ends was answered, and by the page a front takes in whoever answers one. Now such a connection ends with the query unanswered; connections from before, and those in the backlog when the end begins, are answered as ever. A first try ended every connection that sent an empty query while this relay ends: the story of the backlog failed (its clients ask that, then a query). The story fails without the hunk.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -75,6 +75,7 @@
         self.queue: deque[Asked | bytes | Ending] = deque()      # bytes: an answer that is known already
         self.waiting: Deferred[Answer] | None = None
         self.welcome = True                      # False: there is no room for it
+        self.again = clients.closing             # it came when this relay was ending already
         self.reading_out, self.cutting = False, None             # our half has ended; the timer of the other's end
         self.skipping = self.working = self.clogged = self.deaf = self.resting = False
         self.held = 0                            # bytes of the queue
@@ -189,6 +190,8 @@
     def answer(self, text: bytes, at: int) -> None:
         if not text.strip(b" ;\n\t"):
             self.counters.add("clients.empty")
+            if self.again:                       # a front that asks whether this relay is ready: not any more
+                return self.end("closing")
             return self.write(messages.EMPTY)
         if statements.IDLE.fullmatch(text):
             return self.write(messages.SET_DONE)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -257,6 +257,21 @@
         self.pass_time(4 * LAST)
         self.assertEqual(len(ended), 1)
 
+    def test_a_front_that_asks_while_this_relay_ends_is_not_told_that_it_is_ready(self) -> None:
+        """Guards against new clients for a relay whose door is open only for those who crossed its end."""
+        self.started()
+        busy = self.connect()
+        busy.sendall(asking(wait=3000))
+        inside = self.shot()
+        self.leaving()
+        self.later(0.002)
+        front = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(front.close)
+        front.sendall(OPENING + EMPTY)
+        self.assertNotIn(field(b"I", b""), self.to_the_end(front))
+        inside.sendall(ROW + IDLE)
+        self.assertEqual(self.to_the_end(busy), ROW + IDLE)
+
     def test_who_comes_again_and_again_does_not_hold_the_end_up(self) -> None:
         self.started()
         ended = self.leaving()
