--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -223,6 +223,18 @@
         self.pass_time(3 * LAST)
         self.assertEqual(len(ended), 1)
 
+    def comes_and_is_served(self, ended: list[None], look: float = 0.0) -> None:
+        """A new client whose query waits in the kernel while the timers of that long run; it is served, and the relay ends."""
+        client = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(client.close)
+        client.sendall(OPENING + asking(wait=3000))
+        self.later(look)
+        self.shot().sendall(ROW + IDLE)
+        self.assertTrue(self.to_the_end(client).endswith(ROW + IDLE))
+        client.close()
+        self.pass_time(4 * LAST)
+        self.assertEqual(len(ended), 1)
+
     def test_whose_query_crosses_the_end_of_its_connection_comes_again_and_is_served(self) -> None:
         """Guards against a door that closes before the connections do: the query that crossed has nowhere to go."""
         self.started()
@@ -233,29 +245,14 @@
         self.assertEqual(self.to_the_end(client), b"")
         client.close()
         self.pass_time(LAST)
-        client = socket.create_connection(("127.0.0.1", self.port))
-        self.addCleanup(client.close)
-        client.sendall(OPENING + asking(wait=3000))
-        self.shot().sendall(ROW + IDLE)
-        self.assertTrue(self.to_the_end(client).endswith(ROW + IDLE))
-        client.close()
-        self.pass_time(4 * LAST)
-        self.assertEqual(len(ended), 1)
+        self.comes_and_is_served(ended)
 
     def test_who_comes_before_the_last_look_is_served(self) -> None:
         """Guards against an end over a connection that the kernel took in since the loop last asked."""
         self.started()
         ended = self.leaving()
         self.later(0.002)
-        client = socket.create_connection(("127.0.0.1", self.port))
-        self.addCleanup(client.close)
-        client.sendall(OPENING + asking(wait=3000))
-        self.later(LAST)
-        self.shot().sendall(ROW + IDLE)
-        self.assertTrue(self.to_the_end(client).endswith(ROW + IDLE))
-        client.close()
-        self.pass_time(4 * LAST)
-        self.assertEqual(len(ended), 1)
+        self.comes_and_is_served(ended, LAST)
 
     def test_a_front_that_asks_while_this_relay_ends_is_not_told_that_it_is_ready(self) -> None:
         """Guards against new clients for a relay whose door is open only for those who crossed its end."""
