Write no query for a client that has left, also where nothing may be called off

What callers saw: a deposit was made although its client had closed its connection; it began up to 0.26 s after the close.

Cause: `Relay.on_abandoned` stops a shot only where `limits.cancel` is set, also one that waits for its connection and has sent nothing. When the connection was up, `Relay.may_still_send` looked at the list and the cap, not at whether the invocation is over, and the query was written. Evidence: in a test on sockets `clients.left` counts the client before the unit welcomes the relay, and the query came all the same, so the close was not noticed late. With `limits.cancel` the same crossing passed before.

Change: the look before the write is `Gate.may_still_send` and asks whether the invocation is over. At a client's end `Shot.stop_unwritten` ends every shot whose last byte is not written.

Related paths, each with a test: a shot that waits for a probe, and a long query written in part.

Without the change four new tests fail (`*/` found in what the unit received, 0 != 1 moot shots, True is not false); with it they pass.

--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -153,8 +153,13 @@
             self.abandon_shots()
 
     def abandon_shots(self) -> None:
-        """Tell the facade that nobody waits for an outcome any more, and call off what it wants called off."""
+        """Tell the facade that nobody waits for an outcome any more, and call off what it wants called off.
+
+        An attempt of which a part is still unwritten has not begun: it is stopped also where none may be called off.
+        """
         self.relay.facade.report(ClientLeft(self.number))
+        for shot in list(self.shots.values()):
+            shot.stop_unwritten()
         self.relay.on_tick()
         self.remove_if_done()
 
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -253,6 +253,11 @@
         self.connection.stop_result = ShotResult(outcome if self.connection.written else "moot")
         self.connection.end(outcome)
 
+    def stop_unwritten(self) -> None:
+        """Stop a shot whose query is not wholly written; nothing of it runs."""
+        if not self.connection or not self.connection.written:
+            self.stop("cancelled")
+
     def finish(self, result: ShotResult) -> None:
         if not self.is_over:
             self.is_over = True
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -656,6 +656,16 @@
         relay.host.send(invocation.number, unit.number, wait)
         return True
 
+    def may_still_send(self, shot: Shot) -> bool:
+        """Whether a shot that waited for its connection may be written now.
+
+        What may have changed since it was chosen is looked at again: whether anybody waits for the answer, the list and
+        the cap.
+        """
+        relay, unit = self.relay, shot.unit
+        is_within_cap = not relay.on_trial(unit.build) or relay.cap(unit.build) > 0
+        return not shot.invocation.is_over and self.is_listed(unit) and is_within_cap
+
     def may_send(self, invocation: Invocation) -> bool:
         """Rule 1: no invocation is lost, and nothing is sent for one that is over."""
         has_shots_left = len(invocation.shots) < self.settings["most_shots"]
@@ -1131,12 +1141,8 @@
             self.known[number].is_over = True
 
     def may_still_send(self, number: int, shot_number: int) -> bool:
-        """Whether a shot may go out once its connection is up.
-
-        Guards against a list or a cap that has changed since the shot was chosen.
-        """
-        unit = self.known[number].shots[shot_number].unit
-        return self.gate.is_listed(unit) and (not self.on_trial(unit.build) or self.cap(unit.build) > 0)
+        """Whether a shot may be written now that its connection is up."""
+        return self.gate.may_still_send(self.known[number].shots[shot_number])
 
     def on_abandoned(self, number: int) -> None:
         """Ends an invocation whose client waits no longer, and cancels the one shot that may be open."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -607,6 +607,72 @@
         self.relay.units.close_idle()
         self.assertNotIn(b"SELECT", self.receive_all(unit_end))
 
+    def start_relay_that_may_not_cancel(self) -> socket.socket:
+        """A relay whose settings forbid to call off attempts, and a client of it."""
+        given = config()["settings"]
+        self.start_relay(settings=given | {"limits": given["limits"] | {"cancel": False}})
+        return self.connect()
+
+    def leave(self, client: socket.socket) -> None:
+        client.close()
+        self.run_until(lambda: self.relay.counters.counts["clients.left"])
+
+    def assert_nothing_ran(self, unit_end: socket.socket) -> None:
+        """The unit receives no whole query, and the shot ended as one that never ran."""
+        received = self.receive_what_comes(unit_end)
+        self.assertNotIn(b"*/\0", received)
+        self.assertEqual(self.relay.counters.counts["units.moot"], 1)
+
+    def receive_what_comes(self, sock: socket.socket) -> bytes:
+        """Receive up to the close, the reset, or 20 turns of the loop in a row without anything."""
+        seen, idle_turns = bytearray(), 0
+        while idle_turns < 20:
+            self.run_once()
+            if not select.select([sock], [], [], 0)[0]:
+                idle_turns += 1
+                continue
+            idle_turns = 0
+            try:
+                data = sock.recv(1 << 16)
+            except ConnectionResetError:
+                break
+            if not data:
+                break
+            seen += data
+        return bytes(seen)
+
+    def test_query_that_waits_for_a_connection_is_not_sent_once_its_client_has_left(self) -> None:
+        """Guards against an attempt that begins after its client has gone, where nothing may be called off."""
+        client = self.start_relay_that_may_not_cancel()
+        client.sendall(client_query(wait=3000, workload="order"))
+        unit_end = self.accept(self.unit_side)
+        self.leave(client)
+        unit_end.sendall(STARTUP_RESPONSE)
+        self.assert_nothing_ran(unit_end)
+
+    def test_query_that_waits_for_a_probe_is_not_sent_once_its_client_has_left(self) -> None:
+        """The same over an idle connection, whose unit is slow to answer the empty query."""
+        client = self.start_relay_that_may_not_cancel()
+        client.sendall(client_query(wait=3000, workload="order"))
+        unit_end = self.accept_query()
+        unit_end.sendall(ROW + READY)
+        self.receive_until(client, READY)
+        self.pass_time(0.1)
+        client.sendall(client_query(wait=3000, workload="order", number="9b20"))
+        self.receive_until(unit_end, EMPTY)
+        self.leave(client)
+        unit_end.sendall(NOTHING)
+        self.assert_nothing_ran(unit_end)
+
+    def test_query_written_in_part_is_not_completed_once_its_client_has_left(self) -> None:
+        """The same with a long query, of which the unit has read only a part."""
+        client = self.start_relay_that_may_not_cancel()
+        client.sendall(self.long_one_shot_query(60_000))
+        unit_end = self.accept(self.unit_side)
+        self.receive_first_part(unit_end)
+        self.leave(client)
+        self.assert_nothing_ran(unit_end)
+
     def test_client_reset_together_with_its_answer_affects_nobody_else(self) -> None:
         """The answer and the client's reset wait in the kernel together; the next client is served as usual."""
         self.start_relay()
@@ -657,16 +723,15 @@
         counts = self.relay.counters.counts
         self.assertEqual((counts["faults"], self.relay.facade.faults, counts["units.unreadable"]), (0, 0, 1))
 
-    def answer_to_reset_query(self, size: int) -> bytes:
-        """What a client receives if the unit resets the connection while a one-shot query of `size` bytes is sent."""
-        self.start_relay()
-        client = self.connect()
+    def long_one_shot_query(self, size: int) -> bytes:
+        """A query that writes a value of `size` bytes."""
         text = (
             b"INSERT INTO kv (name, content) VALUES ('k', '\\x%s') RETURNING content /* id=1,c=order,t=acme,d=3000 */"
         )
-        client.sendall(message(b"Q", text % (b"00" * size) + b"\0"))
-        unit_end = self.accept(self.unit_side)
-        self.unit_side.close()  # no other connection can be made
+        return message(b"Q", text % (b"00" * size) + b"\0")
+
+    def receive_first_part(self, unit_end: socket.socket) -> None:
+        """Welcome the relay, and receive the first part of a query; little more of a long one fits on the way."""
         pool = next(iter(self.relay.units.pools.values()))
         next(iter(pool.all)).transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         unit_end.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -675,6 +740,15 @@
         while b"INSERT" not in seen:
             self.run_until(lambda: select.select([unit_end], [], [], 0)[0])
             seen += unit_end.recv(4096)
+
+    def answer_to_reset_query(self, size: int) -> bytes:
+        """What a client receives if the unit resets the connection while a one-shot query of `size` bytes is sent."""
+        self.start_relay()
+        client = self.connect()
+        client.sendall(self.long_one_shot_query(size))
+        unit_end = self.accept(self.unit_side)
+        self.unit_side.close()  # no other connection can be made
+        self.receive_first_part(unit_end)
         unit_end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         unit_end.close()
         return self.receive_until(client, READY)
--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -118,6 +118,15 @@
         self.facade.report(RolloutState(2, 0, "going back", 0.0, 0))
         self.assertFalse(self.facade.may_still_send(number, 0))
 
+    def test_a_chosen_shot_may_not_be_sent_once_its_client_has_left(self) -> None:
+        """Guards against an attempt for nobody, where the settings allow no cancellation of the shot that waits."""
+        self.facade.relay.settings["may_cancel"] = False
+        number, _ = self.pick("order")
+        self.assertTrue(self.facade.may_still_send(number, 0))
+        self.facade.report(ClientLeft(number))
+        self.assertEqual(self.facade.tick().cancellations, [])
+        self.assertFalse(self.facade.may_still_send(number, 0))
+
     def test_an_exception_of_the_module_is_logged_and_costs_at_most_that_invocation(self) -> None:
         self.facade.report(WrongAnswer(5, 99, 0))  # build 1, and no workload of that number
         number, _ = self.pick()
