Ask again for the units' memory when a keyed repeat is written

What callers saw: bookings whose answer was lost and whose connection was reset late were made twice.

Cause: `Gate.may_repeat` compared the time of the choice with the memory (3 s), and the query was written when its connection was up, 0.22 s later. Evidence: in the record, repeats chosen 2.80 to 2.85 s after the first attempt reached their units after 3.03 to 3.10 s, and those past 3.05 s ran; later ones over connections that came up at once were dropped.

A repeat that is too late ends as never run and is forfeited at once. Why it works: nothing waits between the second look and the write but the hold-up.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -612,6 +612,7 @@
     """Every shot passes here.  Each of the five rules that no shot may break is kept in one method of this class."""
 
     COLD_LOAD_FACTOR = 1.5  # times an even share of the work, for what a cold unit can do now
+    MAX_WRITE_DELAY = SECOND * 3 // 20  # for which the process may be held up between a decision and the write
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -659,12 +660,14 @@
     def may_still_send(self, shot: Shot) -> bool:
         """Whether a shot that waited for its connection may be written now.
 
-        What may have changed since it was chosen is looked at again: whether anybody waits for the answer, the list and
-        the cap.
+        What may have changed since it was chosen is looked at again: whether anybody waits for the answer, the memory
+        of units, the list and the cap.
         """
-        relay, unit = self.relay, shot.unit
-        is_within_cap = not relay.on_trial(unit.build) or relay.cap(unit.build) > 0
-        return not shot.invocation.is_over and self.is_listed(unit) and is_within_cap
+        relay, unit, first = self.relay, shot.unit, shot.invocation.may_have_run()
+        is_repeat = shot.invocation.workload.effect == "stamped" and first is not shot
+        if shot.invocation.is_over or (is_repeat and not self.is_within_memory(first)):
+            return False
+        return self.is_listed(unit) and (not relay.on_trial(unit.build) or relay.cap(unit.build) > 0)
 
     def may_send(self, invocation: Invocation) -> bool:
         """Rule 1: no invocation is lost, and nothing is sent for one that is over."""
@@ -680,7 +683,7 @@
         workload, first = invocation.workload, invocation.may_have_run()
         if workload.effect == "harmless" or first is None or invocation.open_shots():
             return not invocation.open_shots()  # one shot at a time, also where the settings allow two
-        if workload.effect != "stamped" or self.relay.now >= first.sent_at + workload.memory:
+        if workload.effect != "stamped" or not self.is_within_memory(first):
             return False
         return (
             unit is None
@@ -688,6 +691,10 @@
             or (unit.cell == first.unit.cell if workload.group == "cell" else unit.zone == first.unit.zone)
         )
 
+    def is_within_memory(self, first: Shot) -> bool:
+        """Whether units still drop a repeat of this shot if one is written now."""
+        return self.relay.now + self.MAX_WRITE_DELAY < first.sent_at + first.invocation.workload.memory
+
     def may_reject(self, invocation: Invocation) -> bool:
         """Whether it does no harm if the client tries again."""
         workload, first = invocation.workload, invocation.may_have_run()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,8 @@
 from tealsail.parts import RandomGenerator
 from tests.fake import HARMLESS, ONE_SHOT, SECOND, STAMPED, RelayFixture
 
+HELD_UP = 1_500  # tenths of a ms, for which a relay may be held up between its clock and a write (the standing page)
+
 
 class EveryInvocationIsAnswered(unittest.TestCase):
     def test_a_timeout_at_the_abandon_time_is_a_forfeit(self) -> None:
@@ -67,6 +69,36 @@
         self.assertEqual(len(story.sent(late)), 1)
         self.assertEqual(story.host.of("forfeit"), [(late,)])
 
+    def repeat_of_a_stamped_invocation(self, after: int) -> RelayFixture:
+        """An invocation whose first shot may have run, and ended `after` tenths of a ms after it was sent."""
+        story = RelayFixture(workloads=(dict(STAMPED, group="all"),))
+        number = story.take()
+        story.later(after)
+        story.report_outcome(number, "reset")
+        return story
+
+    def test_a_stamped_repeat_is_not_written_once_units_may_have_forgotten_the_first_shot(self) -> None:
+        """Guards against a repeat that is chosen within the units' memory (2 s), waits for its connection, and runs."""
+        story = self.repeat_of_a_stamped_invocation(after=SECOND)
+        self.assertEqual(len(story.sent(1)), 2)
+        self.assertTrue(story.relay.may_still_send(1, 1))
+        story.later(SECOND - HELD_UP - 1)
+        self.assertTrue(story.relay.may_still_send(1, 1))
+        story.later(1)
+        self.assertFalse(story.relay.may_still_send(1, 1))
+        story.report_outcome(1, "moot", shot_number=1)
+        self.assertEqual((len(story.sent(1)), story.host.of("forfeit")), (2, [(1,)]))
+
+    def test_a_stamped_repeat_leaves_time_for_a_process_that_is_held_up_before_it_writes(self) -> None:
+        self.assertEqual(len(self.repeat_of_a_stamped_invocation(2 * SECOND - HELD_UP - 1).sent(1)), 2)
+        self.assertEqual(len(self.repeat_of_a_stamped_invocation(2 * SECOND - HELD_UP).sent(1)), 1)
+
+    def test_a_first_stamped_shot_is_written_however_long_its_connection_takes(self) -> None:
+        story = RelayFixture(workloads=(STAMPED,))
+        number = story.take()
+        story.later(3 * SECOND)
+        self.assertTrue(story.relay.may_still_send(number, 0))
+
     def test_a_late_shot_at_a_silent_unit_is_cancelled_before_another_is_sent(self) -> None:
         story = RelayFixture(two_shots=False)
         number = story.take()
