Move a relay's shutdown to a module of its own

Need: net/relay.py wires everything together and had grown to 560 lines with the shutdown's state machine in it. Change: net/shutdown.py has the class `Shutdown` (grace, drain, answers before the kill); `Relay.close` closes what is open. No behaviour changes; the counter and the log line keep their names (docs/design/outer-names.md says where).

--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -10,7 +10,7 @@
 from .. import settings
 from ..choices.backoff import DEFAULT_ASK_WITHIN_S, Backoff, fleet_backoff, initial_request_delay
 from ..choices.clock import Clock, StartTimes, discard_evidence
-from ..choices.connection_lifetimes import ShutdownWatch, accept_delay, answer_deadline
+from ..choices.connection_lifetimes import accept_delay
 from ..choices.live_settings import LiveSettings, RestartNeeded
 from ..choices.rate_limits import RateLimiter, count_message_limits
 from ..facade import (
@@ -33,10 +33,11 @@
 from .connections import cancel
 from .counters import Counters
 from .discovery import Discovery, Entry, ListUpdate, unit_number
-from .kernel import accept_pending, set_accepting_paused
+from .kernel import set_accepting_paused
 from .peers import Peers, parse_address
 from .platform import Platform, PlatformState
 from .relay_configuration import RelayConfiguration
+from .shutdown import Shutdown
 from .statements import Statement, StatementError, text_for_unit
 from .units import Shot, ShotResult, Units
 
@@ -45,8 +46,6 @@
 MIN_DESCRIPTORS = 64  # for clients and units together, however few the relay may use
 FACADE_STATES = {"ready": "open"}  # by discovery's name of a unit's state; the others keep their names
 CLIENT_BACKLOG = 512  # connections that wait in the kernel to be accepted
-STOP_GRACE_S = 0.5  # after a stop is requested, in which the relay still serves as before
-DRAIN_CHECK_S = 0.05  # between checks for remaining clients
 TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
 CLOCK_CHECK_S = 1.0  # between checks for steps of the wall clock
 MAX_TICK_WAIT_S = 1.0  # a tick comes at least this often, due or not
@@ -244,12 +243,10 @@
         self.client_listener: Any = None
         self.hold_timer: Any = None  # of a client listener that is held until the list has come
         self.peer_listener: Any = None
-        self.answer_deadline: int | None = None  # by when all is answered, once the relay is told to stop
-        self.shutdown_watch: ShutdownWatch | None = None  # whether clients remain, once the relay drains
         self.timer: Any = None  # of the next tick
         self.duties: tuple[int, ...] = ()  # the indexes of the load tracker and the judges, as last logged
         self.clock_check_timer: Any = None
-        self.shutdown: Deferred[None] | None = None  # fires when a requested stop is complete
+        self.shutdown: Shutdown | None = None  # once a stop is requested
         self.record: Any = None  # a tealsail.net.recording.Record if the operator's document asks for one
         if document and document.recording:
             from .recording import Record
@@ -392,7 +389,11 @@
         A relay that was told to stop may be killed before its client stops waiting.
         """
         deadline = at + settings.tenths(statement.wait)
-        return deadline if self.answer_deadline is None else min(deadline, self.answer_deadline)
+        return min(deadline, self.shutdown.answer_deadline) if self.shutdown else deadline
+
+    def client_deadlines(self) -> list[int]:
+        """How long the clients of each workload wait at the most, in tenths of a millisecond."""
+        return [each.get("abandon", 0) for each in self.live_settings.relay_settings["workloads"]]
 
     def listed(self, update: ListUpdate, kind: str = "") -> None:
         """Take a list of units or its changes; `kind` is that of facade.Units, by default as `update` says."""
@@ -490,58 +491,13 @@
                 self.counters.counts[f"zones.{name}"] = count
 
     def stop(self) -> Deferred[None]:
-        """Serve as before for STOP_GRACE_S, then drain; the Deferred fires when all is answered and closed."""
+        """Serve as before for a moment, then drain; the Deferred fires when all is answered and closed."""
         if not self.shutdown:
-            logger.info("stopping: {} open invocations", len(self.serving))
-            self.shutdown = Deferred()
-            self.answer_deadline = answer_deadline(self.clock(), self.client_deadlines())
-            self.reactor.callLater(STOP_GRACE_S, self.start_drain)
-        return self.shutdown
-
-    def start_drain(self) -> None:
-        """End idle connections, and the others once they are answered.
-
-        The client listener stays open until no client is left, for clients whose query crossed the end of their
-        connection and who connect again; other clients don't come any more.  Messages of other relays are still taken,
-        since open invocations may need their answers.
-        """
-        self.accept_clients()
-        self.clients.stop_sweeping()
-        self.shutdown_watch = ShutdownWatch(self.clock(), self.client_deadlines())
-        self.check_drain()
+            self.shutdown = Shutdown(self)
+        return self.shutdown.done
 
-    def client_deadlines(self) -> list[int]:
-        """How long the clients of each workload wait at the most, in tenths of a millisecond."""
-        return [each.get("abandon", 0) for each in self.live_settings.relay_settings["workloads"]]
-
-    def forfeit_open_invocations(self) -> None:
-        """Answer those that were taken before the stop and are still open: the process may be killed from now on.
-
-        Each may also hold back the answers to later queries of its connection.
-        """
-        for invocation in list(self.serving.values()):
-            if not invocation.is_over:
-                self.counters.add("clients.forfeited_at_stop")
-                invocation.forfeit()
-
-    def check_drain(self) -> None:
-        """Check for remaining clients every DRAIN_CHECK_S, and close everything after the last check.
-
-        Each check accepts the connections that the kernel has already completed, so that they are served.
-        """
-        now = self.clock()
-        if now >= self.answer_deadline:
-            self.forfeit_open_invocations()
-        is_overdue = self.shutdown_watch.is_overdue(now)
-        if not is_overdue:
-            accept_pending(self.client_listener, lambda: self.counters.counts["clients.connections"])
-        self.clients.close()
-        is_over = self.shutdown_watch.is_over(now, len(self.clients.connections))
-        if is_overdue:  # clients that never read their answers, or keep reconnecting, must not hold the relay for ever
-            self.clients.abort_stalled()
-        if not is_over:
-            self.reactor.callLater(DRAIN_CHECK_S, self.check_drain)
-            return
+    def close(self) -> None:
+        """Close all that is open, once no client is left."""
         self.client_listener.stopListening()
         if self.peer_listener:
             self.peer_listener.stopListening()
@@ -552,4 +508,3 @@
             self.record.close()
         self.collect_choice_counts()
         logger.info("counters {}", self.counters.show())
-        self.shutdown.callback(None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,7 +24,8 @@
 
 from tealsail.choices.backoff import FIRST_LIST_WAIT_S
 from tealsail.net.clients import FORFEITED_CODE, REJECTED_CODE
-from tealsail.net.relay import DRAIN_CHECK_S, STOP_GRACE_S, Relay
+from tealsail.net.relay import Relay
+from tealsail.net.shutdown import DRAIN_CHECK_S, STOP_GRACE_S
 
 from .fake import READY, ROW, STARTUP, STARTUP_RESPONSE, client_query, message
 from .test_relay import config, listing, read_configuration, reply, unit
