Two comments: why units are addressed as they are, and no figure in a docstring

Need: ROADMAP named the first as open; a docstring told how its constant had been found, which docs/results.md does. Change: comments alone.

--- a/tealsail/choices/connection_lifetimes.py
+++ b/tealsail/choices/connection_lifetimes.py
@@ -93,6 +93,6 @@
 
     `answered` is when each was last answered, in seconds; the one used last comes last and is preferred.  A connection
     rests after an answer: a second answer to the same query may come some ms after the first and would be taken for the
-    next query's (measured 0.9 to 3.4 ms, docs/results.md).
+    next query's.
     """
     return next((index for index in range(len(answered) - 1, -1, -1) if answered[index] <= now - ANSWER_REST_S), None)
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -19,7 +19,7 @@
 from .counters import Counters
 from .messages import Value
 
-USER = b"backend"
+USER = b"backend"  # this and the next as clients name them; units welcome any
 DATABASE = b"store"
 LOAD_PARAMETER = b"stats"  # the parameter in which a unit reports its load
 LOAD_LIMIT = 1e6  # every figure of a load report is below it
