Describe what a shutdown uses of its relay instead of importing the relay

Cause: the move of the shutdown to a module of its own imported the relay for a type hint, a cycle of imports that test_modules_of_the_network_have_no_import_cycle forbids; that test was not among those run with the move. Change: protocols, as in net/recording.py. Nothing that runs differs.

--- a/tealsail/net/shutdown.py
+++ b/tealsail/net/shutdown.py
@@ -1,32 +1,61 @@
 """The end of a relay that was told to stop: it serves on for a moment, drains its clients, then closes everything."""
 
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from loguru import logger
 from twisted.internet.defer import Deferred
 
 from ..choices.connection_lifetimes import ShutdownWatch, answer_deadline
+from .clients import Clients
+from .counters import Counters
 from .kernel import accept_pending
 
-if TYPE_CHECKING:
-    from .relay import Relay
-
 STOP_GRACE_S = 0.5  # after a stop is requested, in which the relay still serves as before
 DRAIN_CHECK_S = 0.05  # between checks for remaining clients
 
 
+class OpenInvocation(Protocol):
+    """One invocation that a relay has taken."""
+
+    is_over: bool  # answered, or the client has left
+
+    def forfeit(self) -> None:
+        """Answer the client at once."""
+
+
+class StoppingRelay(Protocol):
+    """What a shutdown uses of its relay."""
+
+    reactor: Any
+    clock: Callable[[], int]  # tenths of a millisecond
+    counters: Counters
+    clients: Clients
+    client_listener: Any
+    serving: dict[int, OpenInvocation]
+
+    def client_deadlines(self) -> list[int]:
+        """How long the clients of each workload wait at the most, in tenths of a millisecond."""
+
+    def accept_clients(self) -> None:
+        """Accept clients from now on if they were held in the kernel."""
+
+    def close(self) -> None:
+        """Close all that is open."""
+
+
 class Shutdown:
     """One relay's shutdown, which begins with this object; `done` fires when all is answered and closed.
 
     All that the relay has taken is answered by `answer_deadline`, in tenths of a millisecond of its clock.
     """
 
-    def __init__(self, relay: "Relay") -> None:
+    def __init__(self, relay: StoppingRelay) -> None:
         logger.info("stopping: {} open invocations", len(relay.serving))
         self.relay = relay
         self.done: Deferred[None] = Deferred()
         self.answer_deadline = answer_deadline(relay.clock(), relay.client_deadlines())
-        self.watch: Any = None  # whether clients remain, once the relay drains
+        self.watch: ShutdownWatch | None = None  # whether clients remain, once the relay drains
         relay.reactor.callLater(STOP_GRACE_S, self.start_drain)
 
     def start_drain(self) -> None:
