--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,5 +1,6 @@
 """Connections of clients, in memory: queries, answers and their order, limits, and ends."""
 
+import socket
 import unittest
 
 from twisted.internet.defer import Deferred
@@ -295,3 +296,14 @@
             transport.feed(data)
             self.assertTrue(transport.settle())
         self.assertEqual(self.end_codes(), ["cancel", "goodbye"])
+
+    # Guards against requests that are sent on because their client's close was seen only behind all that is unread.
+    def test_queries_in_front_of_a_close_are_not_begun(self) -> None:
+        transport = self.client()
+        transport.socket, other = socket.socketpair()
+        self.addCleanup(transport.socket.close)
+        transport.feed(client_query())
+        other.close()
+        transport.feed(client_query() * 3)
+        self.assertTrue(transport.settle())
+        self.assertEqual((len(self.taken), self.cancelled, self.end_codes()), (1, [0], ["left"]))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -1,7 +1,10 @@
 """Parsers of the network code: input in pieces of any size, and malformed input."""
 
 import random
+import struct
+import tracemalloc
 import unittest
+from collections.abc import Callable
 
 from tealsail import settings
 from tealsail.net import discovery, messages, platform, statements
@@ -221,3 +224,39 @@
         self.assertEqual(nested_leaves.pop("customers", []), [])
         self.assertEqual(nested_leaves, settings.named_settings(settings.flat_leaves(pairs)))
         self.assertEqual(nested_leaves["workloads"], [dict(name="a", promised=12000, effect="one-shot")])
+
+
+class ParserMemory(unittest.TestCase):
+    """What parsing takes at its peak, in bytes for each byte of the message."""
+
+    MAX_RATIO = 8  # some copies of the message
+
+    def assert_cheap(self, parse: Callable[[bytes], object], data: bytes) -> None:
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        parse(data)
+        peak = tracemalloc.get_traced_memory()[1]
+        self.assertLess(peak, self.MAX_RATIO * len(data))
+
+    # Guards against a pattern that keeps hundreds of bytes for each character of a value.
+    def test_statement_with_the_largest_value_costs_a_few_copies(self) -> None:
+        comment = b" /* id=a,c=order,t=acme,d=480 */"
+        value = b"\\x" + b"9f" * 65_536
+        self.assert_cheap(
+            statements.read,
+            b"INSERT INTO kv (name, content) VALUES ('a', '" + value + b"') RETURNING content" + comment,
+        )
+        self.assert_cheap(statements.read, b"SELECT content FROM kv WHERE name = '" + b"a''" * 40_000 + b"'" + comment)
+
+    # Guards against comments and startup messages that cost an object for each of very many short fields.
+    def test_very_many_short_fields_cost_a_few_copies(self) -> None:
+        fields = b",".join(b"%x=" % number for number in range(30_000))
+
+        def read_statement(text: bytes) -> None:
+            with self.assertRaises(statements.StatementError):
+                statements.read(text)
+
+        self.assert_cheap(
+            read_statement, b"SELECT content FROM kv WHERE name = 'a' /* id=a,c=order,d=4," + fields + b"*/"
+        )
+        self.assert_cheap(messages.parse_first_message, struct.pack(">I", 3 << 16) + b"a\0b\0" * 2400 + b"\0")
