Parse statements without keeping what a pattern may come back to

Callers saw: a relay of 64 MB was killed by a single query with a value of 64 KiB, the largest that the protocol allows, and all clients waited 59 ms for it.

Cause: the literal's pattern could give back what it had taken, so it kept some 200 bytes for each character; the value was then matched again the same way. Evidence: resident memory +37.6 MB and 58.7 ms for one statement of 131 KB; tracemalloc 25.8 MB. A short literal hides it.

Change: possessive repeats, which give nothing back (each character of a literal has one reading only), and no copies of body and value.

--- a/tealsail/net/statements.py
+++ b/tealsail/net/statements.py
@@ -3,7 +3,8 @@
 import re
 from typing import NamedTuple
 
-LITERAL = rb"'((?:[^']|'')*)'"
+# Possessive, since a pattern that may come back keeps some hundred bytes for each character of the literal.
+LITERAL = rb"'((?:[^']++|'')*+)'"
 SELECT = re.compile(rb"\s*SELECT\s+\w+\s+FROM\s+\w+\s+WHERE\s+\w+\s*=\s*" + LITERAL + rb"\s*", re.I)
 INSERT = re.compile(
     rb"\s*INSERT\s+INTO\s+\w+\s*\(\s*\w+\s*,\s*\w+\s*\)\s*VALUES\s*\(\s*"
@@ -15,7 +16,7 @@
 )
 WAIT_FIELD = re.compile(rb"\d{1,9}(\.\d{1,9})?")  # milliseconds
 ID_FIELD = re.compile(rb"[!-~]{1,64}")
-HEX_VALUE = re.compile(rb"\\x(?:[0-9a-fA-F]{2})*")
+HEX_VALUE = re.compile(rb"\\x[0-9a-fA-F]*+")
 SESSION_COMMAND = re.compile(rb"\s*(SET|RESET|DISCARD)\b.*", re.I | re.S)  # answered without a unit
 
 
@@ -41,11 +42,11 @@
 
 def read(text: bytes) -> Statement:
     """Parse a SELECT or INSERT with its comment.  Raises StatementError."""
-    body, comment_start, comment = text.rpartition(b"/*")
-    comment, comment_end, rest = comment.partition(b"*/")
-    if not comment_start or not comment_end or rest.strip(b" ;\n\t"):
+    body_end = text.rfind(b"/*")
+    comment, comment_end, rest = text[body_end + 2 :].partition(b"*/")
+    if body_end < 0 or not comment_end or rest.strip(b" ;\n\t"):
         raise StatementError("no comment at its end")
-    match = SELECT.fullmatch(body) or INSERT.fullmatch(body)
+    match = SELECT.fullmatch(text, 0, body_end) or INSERT.fullmatch(text, 0, body_end)
     if not match:
         raise StatementError("neither of the two forms")
     fields = {}
@@ -55,7 +56,7 @@
             raise StatementError("a field without a value, or twice")
         fields[name] = value
     wait_match = re.search(rb"(?:^|,)\s*d=([^,\s]*)", comment)
-    if match.lastindex == 2 and not HEX_VALUE.fullmatch(match[2]):
+    if match.lastindex == 2 and not is_hex_value(text, *match.span(2)):
         raise StatementError("a value that can't be read")
     try:
         wait = float(fields[b"d"]) if WAIT_FIELD.fullmatch(fields[b"d"]) else -1.0
@@ -68,7 +69,7 @@
         raise StatementError("a field that can't be read") from None
     if not ID_FIELD.fullmatch(fields.get(b"id", b"")) or not 0 <= wait < 1e9 or not wait_match:
         raise StatementError("no id, or no time to wait")
-    wait_start = len(body) + 2 + wait_match.start(1)
+    wait_start = body_end + 2 + wait_match.start(1)
     return Statement(
         text[:wait_start],
         text[wait_start + len(wait_match[1]) :],
@@ -81,6 +82,11 @@
     )
 
 
+def is_hex_value(text: bytes, start: int, end: int) -> bool:
+    """Whether that part of the text is a value in hexadecimal form, two digits for each byte."""
+    return (end - start) % 2 == 0 and bool(HEX_VALUE.fullmatch(text, start, end))
+
+
 def text_for_unit(statement: Statement, wait: int) -> bytes:
     """The statement as sent to a unit: only the time to wait, in milliseconds, is replaced."""
     return statement.text_before_wait + b"%d" % wait + statement.text_after_wait
