--- a/tealsail/lab/soak/relay_process.py
+++ b/tealsail/lab/soak/relay_process.py
@@ -244,3 +244,8 @@
     except (OSError, IndexError, ValueError):
         return 0.0
     return (peak - resident + proportional) * 1024 / BYTES_PER_MB
+
+
+def resident_memory_mb(pid: int) -> float:
+    """The memory that a process has in use now, shared pages in full."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * resource.getpagesize() / BYTES_PER_MB
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -1,11 +1,13 @@
 """Real relay processes at the least limits among hostile clients: memory, other clients' answers, and the rules."""
 
 import asyncio
+import tempfile
 import unittest
+from pathlib import Path
 
 from tealsail.lab.soak.plan import OpenConnections, Plan
-from tealsail.lab.soak.relay_process import Limits
-from tealsail.lab.soak.run import RunResult, play, summary
+from tealsail.lab.soak.relay_process import Limits, resident_memory_mb
+from tealsail.lab.soak.run import Run, RunResult, compile_program, play, summary
 
 LEAST = Limits(32, 1024)  # the least memory that the pages name, with the most descriptors
 UNIT_LATENCY_S = 0.02
@@ -104,6 +106,22 @@
     def test_clients_close_with_much_unread(self) -> None:
         self.play("leave", 20, limits=Limits(192, 1024))
 
+    # Guards against a process that is over the least memory before its first client.
+    def test_a_relay_at_rest_is_under_the_least_memory(self) -> None:
+        self.assertLess(asyncio.run(resident_at_rest()), LEAST.memory_mb)
+
+
+async def resident_at_rest() -> float:
+    """The resident memory of a relay that has just started, in MB."""
+    compile_program()
+    with tempfile.TemporaryDirectory() as folder:
+        run = Run(Plan(1, Limits(192, 1024)), Path(folder))
+        try:
+            await run.start()
+            return resident_memory_mb(run.relays[0].life.process.pid)
+        finally:
+            await run.end()
+
 
 if __name__ == "__main__":
     unittest.main()
