Read limits.memory_mb, follow the process's memory, and log each request's states for debugging

The relay reads its memory limit now (nothing used it), reads its resident memory each half second, counts the most (memory.most_mb) and logs when it passes 85% of the limit. Nothing else changes yet. Tests: tests/test_process_memory.py.

--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -14,6 +14,7 @@
 from ..choices.connection_lifetimes import REREAD_DELAYS_S
 from ..net.connections import cancel
 from ..net.counters import Counters
+from ..net.process_memory import resident_bytes
 from ..net.relay import Relay
 from ..net.relay_configuration import ConfigurationError, UnreadableConfiguration, read, reread
 from .signals import SIGNALS
@@ -129,7 +130,7 @@
             relay.stop().addCallback(lambda _: reactor.stop())
 
     try:
-        relay = Relay(reactor, configuration, Counters(), document, time.time)
+        relay = Relay(reactor, configuration, Counters(), document, time.time, resident_bytes)
         # Set before the relay accepts clients, so that it ends in an orderly way from then on.
         handlers = {
             signal.SIGHUP: ConfigurationReloader(reactor, relay).start,
--- a/tealsail/net/counters.py
+++ b/tealsail/net/counters.py
@@ -18,6 +18,10 @@
     def add(self, name: str, amount: int = 1) -> None:
         self.counts[name] += amount
 
+    def keep_most(self, name: str, amount: int) -> None:
+        """Keep the largest amount that was given under this name."""
+        self.counts[name] = max(self.counts[name], amount)
+
     def connection_ended(self, side: str, code: str, peer: str, detail: str = "") -> None:
         """Count and log the end of a connection to `side` (client, unit, discovery, platform) for the reason `code`."""
         self.counts[f"{side}.ended.{code}"] += 1
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -12,6 +12,7 @@
 from ..choices.clock import Clock, StartTimes, discard_evidence
 from ..choices.connection_lifetimes import accept_delay
 from ..choices.live_settings import LiveSettings, RestartNeeded
+from ..choices.memory_budget import MemoryLevel
 from ..choices.rate_limits import RateLimiter, count_message_limits
 from ..facade import (
     ClientLeft,
@@ -36,6 +37,7 @@
 from .kernel import set_accepting_paused
 from .peers import Peers, parse_address
 from .platform import Platform, PlatformState
+from .process_memory import BYTES_PER_MB, ProcessMemory
 from .relay_configuration import RelayConfiguration
 from .shutdown import Shutdown
 from .statements import Statement, StatementError, text_for_unit
@@ -98,6 +100,7 @@
         """Send the statement to a unit and wait for the outcome, at most `wait` tenths of a millisecond."""
         relay, until = self.relay, self.relay.clock() + wait
         relay.counters.add("units.shots")
+        logger.debug("request {} shot {} to unit {} for {} tenths", self.statement.id, shot_number, unit, wait)
         shot = relay.units.shoot(
             unit,
             lambda: text_for_unit(self.statement, max(1, -(-(until - relay.clock()) // 10))),
@@ -117,6 +120,7 @@
         """Report a shot's outcome; a served one answers the client before the next step."""
         self.shots.pop(shot_number, None)
         self.relay.counters.add(f"units.{result.outcome}")
+        logger.debug("request {} shot {} ended: {}", self.statement.id, shot_number, result.outcome)
         fields = self.relay.load_fields
         load = {name: figure for name, figure in (result.load or {}).items() if name in fields}
         if self.relay.record:
@@ -131,6 +135,7 @@
         """Answer the client, unless it has its answer or has left."""
         if not self.is_over:
             self.is_over = True
+            logger.debug("request {} answered: {}", self.statement.id, type(answer).__name__)
             if self.relay.record:
                 self.relay.record.invocation_ended(self.number, answer)
             self.answer.callback(answer)
@@ -141,6 +146,7 @@
 
     def on_client_left(self, answer: Deferred) -> None:
         self.is_over = True
+        logger.debug("request {}: its client has left", self.statement.id)
         if self.relay.record:
             self.relay.record.invocation_ended(self.number, None)
         self.abandon_shots()
@@ -174,7 +180,8 @@
 
     Programs that embed it hand in their own reactor, and the operator's document if there is one
     (tealsail/setup/document.py).  `wall` gives Unix time in seconds where the reactor's clock is a steady one; without
-    it the reactor's clock is taken for both.  Raises OSError if a record can't be opened.
+    it the reactor's clock is taken for both.  `read_memory` gives the bytes of memory that the process uses, where the
+    relay has the process to itself.  Raises OSError if a record can't be opened.
     """
 
     def __init__(
@@ -184,6 +191,7 @@
         counters: Counters | None = None,
         document: Any = None,
         wall: Callable[[], float] | None = None,
+        read_memory: Callable[[], int] | None = None,
     ) -> None:
         self.reactor, self.configuration, self.counters = reactor, configuration, counters or Counters()
         self.clock, self.tick_at = Clock(reactor.seconds, wall or reactor.seconds, self.on_gap), 0
@@ -246,6 +254,13 @@
         self.timer: Any = None  # of the next tick
         self.duties: tuple[int, ...] = ()  # the indexes of the load tracker and the judges, as last logged
         self.clock_check_timer: Any = None
+        self.memory = (
+            ProcessMemory(
+                reactor, int(configuration.memory_mb * BYTES_PER_MB), read_memory, self.counters, self.on_memory_level
+            )
+            if read_memory
+            else None
+        )
         self.shutdown: Shutdown | None = None  # once a stop is requested
         self.record: Any = None  # a tealsail.net.recording.Record if the operator's document asks for one
         if document and document.recording:
@@ -273,6 +288,8 @@
             len(self.configuration.known.entries),
         )
         self.clock_check_timer = self.reactor.callLater(CLOCK_CHECK_S, self.check_clocks)
+        if self.memory:
+            self.memory.check()
         self.schedule_tick()
 
     def start_discovery(self) -> None:
@@ -312,6 +329,9 @@
         self.log_duties()
         self.clock_check_timer = self.reactor.callLater(CLOCK_CHECK_S, self.check_clocks)
 
+    def on_memory_level(self, level: MemoryLevel) -> None:
+        """Memory has become short, or is short still, or is no longer."""
+
     def log_duties(self) -> None:
         """Log which relays act for the fleet, as far as this one knows, if that has changed."""
         relay = self.facade.relay
@@ -504,6 +524,8 @@
         self.discovery.stop()
         self.platform.stop()
         self.clock_check_timer.cancel()
+        if self.memory:
+            self.memory.stop()
         if self.record:
             self.record.close()
         self.collect_choice_counts()
--- a/tealsail/net/relay_configuration.py
+++ b/tealsail/net/relay_configuration.py
@@ -9,6 +9,9 @@
 from .discovery import ListUpdate, Unreadable, checked_address, read_list
 from .platform import PlatformState, Unreadable as UnreadableState, read_state
 
+DEFAULT_SOCKETS = 1024  # file descriptors
+DEFAULT_MEMORY_MB = 192
+
 
 class ConfigurationError(Exception):
     """The configuration can't be used; the text is one plain line for the operator."""
@@ -30,19 +33,21 @@
     known: ListUpdate  # the list of units as known at the start
     relay_settings: dict[str, Any]  # the platform's settings under the decision module's names (tealsail/settings.py)
     identity: tuple[str, ...] = ()  # name, listen and peer_listen as the file has them
+    memory_mb: float = DEFAULT_MEMORY_MB  # memory that the process may use
 
 
 class UnreadableConfiguration(ConfigurationError):
     """The file is missing or not valid JSON: it may be in the middle of being written."""
 
 
-def typed_field(tree: Any, name: str, kind: type, default: Any = None) -> Any:
+def typed_field(tree: Any, name: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
     """The field `name` of `tree`; raises ConfigurationError if it is missing or not of that type."""
     value = tree.get(name, default)
     if value is None:
         raise ConfigurationError(f"no {name} in the configuration")
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise ConfigurationError(f"{name} in the configuration is {type(value).__name__}, not {kind.__name__}")
+        wanted = " or ".join(each.__name__ for each in (kind if isinstance(kind, tuple) else (kind,)))
+        raise ConfigurationError(f"{name} in the configuration is {type(value).__name__}, not {wanted}")
     return value
 
 
@@ -86,12 +91,13 @@
         check_settings(relay_settings)
     except InvalidSettings as problem:
         raise ConfigurationError(f"{path}: settings: {problem}") from None
+    limits = typed_field(tree, "limits", dict, {})
     return RelayConfiguration(
         environment.get("EDGE_NAME") or typed_field(tree, "name", str),
         address_field("EDGE_LISTEN", environment.get("EDGE_LISTEN") or typed_field(tree, "listen", str)),
         address_field("EDGE_DISCOVERY", environment.get("EDGE_DISCOVERY") or typed_field(tree, "discovery", str)),
         seed,
-        typed_field(typed_field(tree, "limits", dict, {}), "sockets", int, 1024),
+        typed_field(limits, "sockets", int, DEFAULT_SOCKETS),
         address_field("peer_listen", typed_field(tree, "peer_listen", str, "")),
         [address_field("peers", each) for each in typed_field(tree, "peers", list, [])],
         address_field("peers_all", typed_field(tree, "peers_all", str, "")),
@@ -100,4 +106,5 @@
         known,
         relay_settings,
         tuple(str(tree.get(name, "")) for name in ("name", "listen", "peer_listen")),
+        typed_field(limits, "memory_mb", (int, float), DEFAULT_MEMORY_MB),
     )
--- /dev/null
+++ b/tests/test_process_memory.py
@@ -0,0 +1,38 @@
+"""The memory of a process against its limit."""
+
+import unittest
+
+from tealsail.choices.memory_budget import MemoryLevel
+from tealsail.net.counters import Counters
+from tealsail.net.process_memory import BYTES_PER_MB, ProcessMemory, resident_bytes
+
+from .fake import Reactor
+
+
+class Memory(unittest.TestCase):
+    def setUp(self) -> None:
+        self.used, self.levels = 30 * BYTES_PER_MB, []
+        self.reactor, self.counters = Reactor(), Counters()
+        self.memory = ProcessMemory(
+            self.reactor, 64 * BYTES_PER_MB, lambda: self.used, self.counters, self.levels.append
+        )
+        self.memory.check()
+
+    # Guards against a process of which nobody can tell how much memory it had.
+    def test_each_change_of_level_is_told_and_the_most_is_counted(self) -> None:
+        for used in (30, 60, 58, 31):
+            self.used = used * BYTES_PER_MB
+            self.reactor.advance(0.5)
+        self.assertEqual(self.levels, [MemoryLevel.SHORT, MemoryLevel.SHORT, MemoryLevel.NORMAL])
+        self.assertEqual(self.counters.counts["memory.most_mb"], 60)
+        self.assertEqual((self.counters.counts["memory.short"], self.counters.counts["memory.normal"]), (1, 1))
+        self.memory.stop()
+        self.reactor.advance(9)
+        self.assertEqual(len(self.levels), 3)
+
+    def test_the_memory_of_this_process_is_read(self) -> None:
+        self.assertGreater(resident_bytes(), BYTES_PER_MB)
+
+
+if __name__ == "__main__":
+    unittest.main()
