--- a/tealsail/lab/soak/relay_process.py
+++ b/tealsail/lab/soak/relay_process.py
@@ -247,5 +247,8 @@
 
 
 def resident_memory_mb(pid: int) -> float:
-    """The memory that a process has in use now, shared pages in full."""
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * resource.getpagesize() / BYTES_PER_MB
+    """The memory that a process has in use now, shared pages in full; 0 once it is gone."""
+    try:
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * resource.getpagesize() / BYTES_PER_MB
+    except OSError:
+        return 0.0
--- a/tealsail/lab/soak/run.py
+++ b/tealsail/lab/soak/run.py
@@ -14,7 +14,7 @@
 
 from .hostile_clients import HostileReport, Order
 from .plan import KILL_AFTER_S, OpenConnections, Plan, Signals
-from .relay_process import CHECKOUT, RelayProcess
+from .relay_process import CHECKOUT, RelayProcess, resident_memory_mb
 from .stand_ins import Attempt, Discovery, Platform, Unit
 from .usual_clients import Answered, UsualClients
 
@@ -22,6 +22,7 @@
 MAX_ATTEMPTS = 3  # for one request, by the settings of relay_process.py
 MEMORY_S = 3.0  # for which units remember a keyed request, by the same settings
 HOSTILE_END_S = 30.0  # within which hostile clients end after their time
+SETTLE_S = 0.5  # after the clients' end, until memory is read
 MAX_UNMET_SHARE = 0.02  # of clients owed an error or a close
 
 
@@ -29,7 +30,9 @@
     """What a run showed: sentences on what broke a rule, and figures."""
 
     findings: list[str]
+    rest_mb: float  # resident memory of the first relay before the clients came
     peak_mb: float  # of the relay that took the most
+    end_mb: float  # resident memory of the first relay after the clients had left; 0 if it had ended
     answers: list[Answered]  # of the usual clients
     owed: int
     unmet: int
@@ -76,6 +79,7 @@
         self.clients: list[UsualClients] = []
         self.reports: list[HostileReport] = []
         self.servers: list[asyncio.Server] = []
+        self.rest_mb = self.end_mb = 0.0
 
     async def start(self) -> None:
         """Let the stand-ins listen, and start the relays."""
@@ -92,6 +96,7 @@
         """Start, let the clients and signals of the plan act, and end."""
         try:
             await self.start()
+            self.rest_mb = resident_memory_mb(self.relays[0].life.process.pid)
             self.clients = [
                 UsualClients(relay, self.plan.usual_clients, self.plan.seed, self.plan.value_bytes)
                 for relay in self.relays
@@ -100,6 +105,8 @@
                 *(self.send_hostile(each) for each in self.plan.crowds), *map(self.signal, self.plan.signals)
             )
             await asyncio.gather(*(each.end() for each in self.clients))
+            await asyncio.sleep(SETTLE_S)
+            self.end_mb = resident_memory_mb(self.relays[0].life.process.pid)
         finally:
             await self.end()
         return self.result()
@@ -159,7 +166,9 @@
             findings.append(f"{unmet} of {owed} hostile clients got neither an error nor a close in time")
         return RunResult(
             findings,
+            self.rest_mb,
             max(relay.peak_mb for relay in self.relays),
+            self.end_mb,
             [answer for clients in self.clients for answer in clients.answers],
             owed,
             unmet,
@@ -204,7 +213,7 @@
     outcomes = Counter(answer.outcome for answer in result.answers)
     counts = " ".join(f"{name}={count}" for name, count in sorted(outcomes.items()))
     return (
-        f"peak {result.peak_mb:.1f} MB; usual clients {counts}, "
+        f"memory {result.rest_mb:.1f}, peak {result.peak_mb:.1f}, end {result.end_mb:.1f} MB; usual clients {counts}, "
         f"p50 {result.latency(0.5) * 1000:.0f} ms, p99 {result.latency(0.99) * 1000:.0f} ms; "
         f"{result.unmet} of {result.owed} hostile clients unmet"
     )
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -41,6 +41,11 @@
     def test_hundreds_of_clients_stop_half_way_through_a_large_request(self) -> None:
         self.play("half", CROWD)
 
+    # Guards against memory that a crowd has taken and that stays with the process when the crowd has gone.
+    def test_memory_is_given_back_after_hundreds_of_clients_have_left(self) -> None:
+        result = self.play("half", CROWD, limits=Limits(192, 1024))
+        self.assertLess(result.end_mb - result.rest_mb, (result.peak_mb - result.rest_mb) / 2, summary(result))
+
     # Guards against the same where the partial messages keep growing.
     def test_hundreds_of_clients_write_large_requests_slowly(self) -> None:
         self.play("slow", CROWD)
