Bound what the requests of all clients hold by the process's memory

Cause: every bound was that of one connection. 480 connections may hold 256 KiB of an incomplete message each, and as much again in the queue and in progress; limits.memory_mb was not read.

Change: one budget for all (choices/memory_budget.py), a quarter of what the limit leaves beyond the use at rest. The header of a message over 4 KiB reserves what the whole request will take; without room it is skipped as it comes and refused (53300) in its turn, so nothing that was written whole goes unanswered. A message that is incomplete for half a second gives its room to another one. While memory is short the budget is halved. A request counts until its last shot has ended.

--- a/tealsail/choices/memory_budget.py
+++ b/tealsail/choices/memory_budget.py
@@ -1,12 +1,22 @@
 """How much of its memory a process may use for what, and when it is short of memory.
 
-What hundreds of connections may hold in one process is bounded for all of them together: a bound for each connection
-adds up.
+What hundreds of connections hold is bounded for all of them together: bounds of single connections add up.  All sizes
+are in bytes.
 """
 
 from enum import Enum
+from typing import NamedTuple
 
-SHORT_SHARE = 0.85  # of the limit, from which on memory is short
+BYTES_PER_MB = 1 << 20
+USED_AT_REST = 30 * BYTES_PER_MB  # of a process, where nobody reads what it uses
+MIN_ROOM = 4 * BYTES_PER_MB  # that is shared out even where less is left
+REQUEST_SHARE = 0.25  # of the room
+SHORT_SHARE = 0.75  # of the room, above which memory is short
+SHORT_CAPACITY = 0.5  # of what requests have otherwise, while memory is short
+REQUEST_COPIES = 3  # of a request's text: as it came, as a statement, and on its way to a unit
+REQUEST_OVERHEAD = 2048  # of a request besides its text
+SMALL_MESSAGE = 4096  # messages up to this size need no room in advance
+DISPLACE_AFTER = 5_000  # tenths of a ms; usual clients write a request at once
 
 
 class MemoryLevel(Enum):
@@ -16,6 +26,54 @@
     SHORT = "short"
 
 
-def memory_level(used: int, limit: int) -> MemoryLevel:
-    """The level of a process that uses so many of its `limit` bytes."""
-    return MemoryLevel.SHORT if used > SHORT_SHARE * limit else MemoryLevel.NORMAL
+class MemoryShares(NamedTuple):
+    """What is shared out: `requests` is for those of all clients, incomplete, waiting or in progress."""
+
+    requests: int
+    short_above: int  # used by the process
+
+
+def share_out(limit: int, used: int) -> MemoryShares:
+    """The shares of a process that may use `limit`, and uses so much at rest (0: not known)."""
+    used = used or USED_AT_REST
+    room = max(MIN_ROOM, limit - used)
+    return MemoryShares(int(REQUEST_SHARE * room), used + int(SHORT_SHARE * room))
+
+
+def memory_level(used: int, shares: MemoryShares) -> MemoryLevel:
+    """The level of a process that uses so much."""
+    return MemoryLevel.SHORT if used > shares.short_above else MemoryLevel.NORMAL
+
+
+def request_capacity(shares: MemoryShares, level: MemoryLevel) -> int:
+    """What requests may take at this level."""
+    return int(shares.requests * (SHORT_CAPACITY if level == MemoryLevel.SHORT else 1))
+
+
+def request_cost(length: int) -> int:
+    """What a request of that length counts."""
+    return REQUEST_OVERHEAD + REQUEST_COPIES * length
+
+
+def may_displace(age: int) -> bool:
+    """Whether a message that has been incomplete for so long (tenths of a ms) may lose its room to another one."""
+    return age >= DISPLACE_AFTER
+
+
+class ByteBudget:
+    """Bytes that are held for one purpose, against a capacity."""
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity, self.used = capacity, 0
+
+    def has_room(self, amount: int) -> bool:
+        """Whether that much may be added."""
+        return self.used + amount <= self.capacity
+
+    def add(self, amount: int) -> None:
+        """Count more, also beyond the capacity: what is held already has to be counted."""
+        self.used += amount
+
+    def remove(self, amount: int) -> None:
+        """Count less."""
+        self.used -= amount
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -16,6 +16,14 @@
 from zope.interface import implementer
 
 from ..choices.connection_lifetimes import IDLE_GRACE, may_close_idle
+from ..choices.memory_budget import (
+    SMALL_MESSAGE,
+    USED_AT_REST,
+    ByteBudget,
+    may_displace,
+    request_cost,
+    share_out,
+)
 from ..choices.pipelining import may_begin
 from . import messages, statements
 from .connections import cancel
@@ -32,6 +40,7 @@
 MUTE_TIMEOUT = 20_000  # within which something complete must come
 FIRST_QUERY_TIMEOUT = 5_000  # a connection without a query for longer is the first to make room
 CROWDED_SHARE = 0.25  # of `max_connections`: above it, connections idle for longer than IDLE_GRACE are ended
+DEFAULT_MEMORY = 192 * 1024 * 1024  # bytes that a process may use, where the configuration does not say
 HALF_CLOSE_TIMEOUT_S = 0.5  # for the other side's end, after ours
 MAX_HALF_CLOSED = 32  # connections that wait for the other side's end; more are closed at once
 
@@ -124,6 +133,8 @@
         self.held_bytes = 0  # of the queue, and of the queries in `pending` behind the first
         self.idle_since = clients.clock()
         self.queued_queries, self.has_queried = 0, False  # `has_queried`: a complete query has come
+        # Counted in `clients.requests`: for the large message that is incomplete, and when that was; for the queue.
+        self.incomplete_cost = self.queued_cost = self.incomplete_since = 0
         self.partial_since: int | None = None  # when the first part of a message that is still incomplete came
         self.code, self.detail = "", ""
 
@@ -143,12 +154,16 @@
         try:
             for kind, body in self.splitter:
                 partial_since = None
-                if self.splitter.typed:
+                self.release_incomplete()
+                if body is None:
+                    self.on_skipped_message(kind)
+                elif self.splitter.typed:
                     self.on_message(messages.parse_client_message(kind, body))
                 else:
                     self.on_first_message(messages.parse_first_message(body))
                 if self.code or self.ignores_input:
                     break
+            self.hold_incomplete()
         except messages.ProtocolError as problem:  # earlier queries still get their answers
             self.counters.add("clients.unreadable")
             self.enqueue(
@@ -158,10 +173,48 @@
                     str(problem),
                 )
             )
-        if self.splitter.held:
+        if self.splitter.is_partial():
             self.partial_since = partial_since or self.clients.clock()
         self.process_queue()
 
+    def hold_incomplete(self) -> None:
+        """Hold the message that has begun if there is room for all of it, or else skip it to its end."""
+        length = self.splitter.incomplete_length()
+        if length <= SMALL_MESSAGE or self.incomplete_cost or self.code or self.ignores_input:
+            return
+        cost = request_cost(length)
+        if self.clients.reserve(self, cost):
+            self.incomplete_cost, self.incomplete_since = cost, self.clients.clock()
+        else:
+            self.skip_incomplete()
+
+    def skip_incomplete(self) -> None:
+        """There is no room for the message that has begun: what has come of it and will come is dropped."""
+        self.counters.add("clients.skipped")
+        self.release_incomplete()
+        self.splitter.skip()
+
+    def release_incomplete(self) -> None:
+        """The message that was incomplete is no longer."""
+        if self.incomplete_cost:
+            self.clients.release(self, self.incomplete_cost)
+            self.incomplete_cost = 0
+
+    def on_skipped_message(self, kind: bytes) -> None:
+        """The end of a message that was skipped: a query is refused, in its turn; nothing else is answered."""
+        if not self.splitter.typed:
+            self.enqueue(Ending("full", messages.error_response(CONNECTION_LIMIT_CODE, "no memory", fatal=True)))
+        elif kind == b"Q":
+            self.refuse_query()
+        else:
+            self.on_message(messages.parse_client_message(kind, b""))
+
+    def refuse_query(self) -> None:
+        """Answer a query that there is no room for, once those before it are answered."""
+        self.has_queried = True
+        self.counters.add("clients.no_memory")
+        self.enqueue(encode_answer(Rejected(0)))
+
     def on_first_message(self, message: messages.Startup | messages.EncryptionRequest | messages.CancelRequest) -> None:
         match message:
             case messages.EncryptionRequest():
@@ -190,6 +243,8 @@
                 self.skips_to_sync = True
                 self.counters.add("clients.foreign")
                 self.enqueue(messages.error_response(UNSUPPORTED_PROTOCOL_CODE, "simple queries only"))
+            case messages.Query(text) if text and not self.skips_to_sync and not self.clients.has_room_for(text):
+                self.refuse_query()
             case messages.Query(text) if not self.skips_to_sync:
                 self.has_queried = True
                 self.enqueue(ReceivedQuery(text, self.clients.clock()))
@@ -199,14 +254,27 @@
 
     def end_flood(self) -> None:
         """Too many queries wait: none of them is begun, and the connection ends behind the answers still due."""
-        self.queue.clear()
+        self.clear_queue()
         self.held_bytes = 0
         self.enqueue(
             Ending("flood", messages.error_response(PROTOCOL_ERROR_CODE, "too many commands at once", fatal=True))
         )
 
+    def clear_queue(self) -> None:
+        """Drop what waits to be begun."""
+        self.queue.clear()
+        self.clients.requests.remove(self.queued_cost)
+        self.queued_cost = 0
+
+    def count_queued(self, cost: int) -> None:
+        """Count what a query costs that waits, or no longer does."""
+        self.queued_cost += cost
+        self.clients.requests.add(cost)
+
     def enqueue(self, entry: ReceivedQuery | bytes | Ending) -> None:
         self.queue.append(entry)
+        if isinstance(entry, ReceivedQuery):
+            self.count_queued(request_cost(len(entry.text)))
         self.ignores_input |= isinstance(entry, Ending)
         self.held_bytes += entry_bytes(entry)
         if self.held_bytes > MAX_HELD_BYTES and not self.read_paused:
@@ -252,6 +320,7 @@
         if isinstance(entry, bytes):
             return self.set_answer(pending, entry)
         self.queued_queries -= 1
+        self.count_queued(-request_cost(len(entry.text)))
         self.answer_query(entry, pending)
 
     def release_held_bytes(self, pending: PendingAnswer) -> None:
@@ -294,7 +363,7 @@
     def answer_empty(self, pending: PendingAnswer) -> None:
         if not self.came_during_shutdown:
             return self.set_answer(pending, messages.EMPTY_QUERY_RESPONSE)
-        self.queue.clear()  # a load balancer's readiness check: this relay is no longer ready
+        self.clear_queue()  # a load balancer's readiness check: this relay is no longer ready
         self.enqueue(Ending("closing"))
         self.set_answer(pending, b"")
 
@@ -391,7 +460,9 @@
         self.clients.half_closed -= self.is_half_closed
         cancel(self.half_close_timer)
         cancel(self.paused_check_timer)
-        self.queue.clear()
+        self.clear_queue()
+        self.release_incomplete()
+        self.splitter.clear()
         self.code = code = self.code or (
             "left" if self.pending else "closed" if reason.check(ConnectionDone) else "broken"
         )
@@ -425,10 +496,14 @@
         clock: Callable[[], int],
         counters: Counters,
         max_connections: int,
+        requests: ByteBudget | None = None,
     ) -> None:
+        """`requests`: what the requests of all clients hold, by default as in a process of DEFAULT_MEMORY bytes."""
         self.reactor, self.take, self.clock, self.counters = reactor, take, clock, counters
         self.max_connections = max_connections
+        self.requests = requests or ByteBudget(share_out(DEFAULT_MEMORY, USED_AT_REST).requests)
         self.connections: dict[ClientConnection, None] = {}
+        self.incomplete: dict[ClientConnection, None] = {}  # those with a large incomplete message, the oldest first
         self.closing = False
         self.answer_bytes = 0  # of all connections' answers that wait for an earlier one
         self.half_closed = 0  # connections that wait for the other side's end
@@ -486,6 +561,26 @@
     def remove(self, client: ClientConnection) -> None:
         self.connections.pop(client, None)
 
+    def reserve(self, client: ClientConnection, cost: int) -> bool:
+        """Count a large message that has begun, if there is room; one that is incomplete for long makes room."""
+        while not self.requests.has_room(cost):
+            oldest = next(iter(self.incomplete), None)
+            if oldest is None or not may_displace(self.clock() - oldest.incomplete_since):
+                return False
+            oldest.skip_incomplete()
+        self.requests.add(cost)
+        self.incomplete[client] = None
+        return True
+
+    def release(self, client: ClientConnection, cost: int) -> None:
+        """Give up what was reserved."""
+        self.requests.remove(cost)
+        self.incomplete.pop(client, None)
+
+    def has_room_for(self, text: bytes) -> bool:
+        """Whether a query that has come may wait and be begun."""
+        return self.requests.has_room(request_cost(len(text)))
+
     def close(self) -> None:
         """Shut down: idle connections end now, the others with their last answer.  Called again until none is left."""
         self.closing = True
--- a/tealsail/net/messages.py
+++ b/tealsail/net/messages.py
@@ -119,20 +119,60 @@
     """Cuts a stream, fed in pieces of any size, into messages.
 
     Iteration yields the type byte and the body of each complete message, and raises ProtocolError for a length beyond
-    bounds.  It never holds more than one incomplete message and one piece.
+    bounds.  It never holds more than one incomplete message and one piece.  The body of a message that was skipped is
+    None.
     """
 
     def __init__(self, typed: bool) -> None:
         """`typed`: whether messages begin with a type byte, as all do but a client's first ones."""
         self.typed = typed
         self.held = bytearray()  # what has come of messages that are not yielded yet
+        self.skipped_kind: bytes | None = None  # the type of the message that is being skipped
+        self.unskipped = 0  # bytes of it that are still to come
 
     def feed(self, data: bytes) -> None:
+        if self.unskipped:
+            skipped = min(len(data), self.unskipped)
+            self.unskipped -= skipped
+            data = data[skipped:]
         self.held += data
 
-    def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
-        while True:
-            head = 5 if self.typed else 4
+    def is_partial(self) -> bool:
+        """Whether part of a message has come."""
+        return bool(self.held) or self.unskipped > 0
+
+    def incomplete_length(self) -> int:
+        """The length of the message that has begun, 0 as long as that is not known."""
+        head = self.head_length()
+        if len(self.held) < head:
+            return 0
+        return head - 4 + struct.unpack_from(">I", self.held, head - 4)[0]
+
+    def missing(self) -> int:
+        """How many bytes of the message that has begun are still to come, 0 if that is not known."""
+        return self.unskipped or max(0, self.incomplete_length() - len(self.held))
+
+    def skip(self) -> None:
+        """Drop the message that has begun, with all of it that is still to come."""
+        self.unskipped = self.missing()
+        self.skipped_kind = bytes(self.held[: self.head_length() - 4])
+        self.held = bytearray()
+
+    def clear(self) -> None:
+        """Drop all that is held."""
+        self.held = bytearray()
+
+    def head_length(self) -> int:
+        """The bytes up to the end of a message's length."""
+        return 5 if self.typed else 4
+
+    def __iter__(self) -> Iterator[tuple[bytes, bytes | None]]:
+        while not self.unskipped:
+            if self.skipped_kind is not None:
+                kind, self.skipped_kind = self.skipped_kind, None
+                yield kind, None
+                continue
+            head = self.head_length()
             if len(self.held) < head:
                 return
             (length,) = struct.unpack_from(">I", self.held, head - 4)
@@ -140,7 +180,8 @@
                 raise ProtocolError(f"a message of {length} bytes")
             if len(self.held) < head - 4 + length:
                 return
-            kind, body = bytes(self.held[: head - 4]), bytes(self.held[head : head - 4 + length])
+            with memoryview(self.held) as held:
+                kind, body = bytes(held[: head - 4]), bytes(held[head : head - 4 + length])
             del self.held[: head - 4 + length]
             yield kind, body
 
--- a/tealsail/net/process_memory.py
+++ b/tealsail/net/process_memory.py
@@ -6,12 +6,11 @@
 
 from loguru import logger
 
-from ..choices.memory_budget import MemoryLevel, memory_level
+from ..choices.memory_budget import BYTES_PER_MB, MemoryLevel, MemoryShares, memory_level
 from .connections import cancel
 from .counters import Counters
 
 CHECK_INTERVAL_S = 0.5
-BYTES_PER_MB = 1 << 20
 
 
 def resident_bytes() -> int:
@@ -32,13 +31,12 @@
     def __init__(
         self,
         reactor: Any,
-        limit: int,
+        shares: MemoryShares,
         read: Callable[[], int],
         counters: Counters,
         on_level: Callable[[MemoryLevel], Any],
     ) -> None:
-        """`limit` in bytes."""
-        self.reactor, self.limit, self.read, self.counters, self.on_level = reactor, limit, read, counters, on_level
+        self.reactor, self.shares, self.read, self.counters, self.on_level = reactor, shares, read, counters, on_level
         self.level = MemoryLevel.NORMAL
         self.timer: Any = None
 
@@ -46,18 +44,20 @@
         """Read the memory, act on its level, and call again after CHECK_INTERVAL_S."""
         used = self.read()
         self.counters.keep_most("memory.most_mb", used // BYTES_PER_MB)
-        level = memory_level(used, self.limit)
+        level = memory_level(used, self.shares)
         if level != self.level:
             self.level = level
             self.counters.add(f"memory.{level.value}")
-            logger.info("memory level={} used={:.1f} limit={:.0f} (MB)", level.value, *self.megabytes(used, self.limit))
+            logger.info(
+                "memory level={} used={:.1f} short_above={:.1f} (MB)",
+                level.value,
+                used / BYTES_PER_MB,
+                self.shares.short_above / BYTES_PER_MB,
+            )
             self.on_level(level)
         elif level != MemoryLevel.NORMAL:
             self.on_level(level)
         self.timer = self.reactor.callLater(CHECK_INTERVAL_S, self.check)
 
-    def megabytes(self, *counts: int) -> tuple[float, ...]:
-        return tuple(count / BYTES_PER_MB for count in counts)
-
     def stop(self) -> None:
         cancel(self.timer)
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -12,7 +12,15 @@
 from ..choices.clock import Clock, StartTimes, discard_evidence
 from ..choices.connection_lifetimes import accept_delay
 from ..choices.live_settings import LiveSettings, RestartNeeded
-from ..choices.memory_budget import MemoryLevel
+from ..choices.memory_budget import (
+    BYTES_PER_MB,
+    USED_AT_REST,
+    ByteBudget,
+    MemoryLevel,
+    request_capacity,
+    request_cost,
+    share_out,
+)
 from ..choices.rate_limits import RateLimiter, count_message_limits
 from ..facade import (
     ClientLeft,
@@ -37,7 +45,7 @@
 from .kernel import set_accepting_paused
 from .peers import Peers, parse_address
 from .platform import Platform, PlatformState
-from .process_memory import BYTES_PER_MB, ProcessMemory
+from .process_memory import ProcessMemory
 from .relay_configuration import RelayConfiguration
 from .shutdown import Shutdown
 from .statements import Statement, StatementError, text_for_unit
@@ -61,6 +69,8 @@
         self.relay, self.statement = relay, statement
         self.answer: Deferred[Answer] = Deferred(self.on_client_left)
         self.is_over = False  # answered, or the client has left
+        self.cost = request_cost(len(statement.text_before_wait) + len(statement.text_after_wait))
+        relay.requests.add(self.cost)
         self.shots: dict[int, Shot] = {}  # those without an outcome, by shot number
         self.number, step = relay.facade.pick(
             statement.workload,
@@ -170,8 +180,8 @@
 
     def remove_if_done(self) -> None:
         """Remove it from the relay's tables once it is over and no shot is out."""
-        if self.is_over and not self.shots:
-            self.relay.serving.pop(self.number, None)
+        if self.is_over and not self.shots and self.relay.serving.pop(self.number, None):
+            self.relay.requests.remove(self.cost)
             self.relay.open_ids.discard(self.statement.id)
 
 
@@ -210,7 +220,11 @@
             relay_settings.get("idle_time", 30 * TENTHS_PER_SECOND) / TENTHS_PER_SECOND,
             max_connections,
         )
-        self.clients = Clients(reactor, self.take, self.clock, self.counters, max_connections)
+        self.memory_shares = share_out(
+            int(configuration.memory_mb * BYTES_PER_MB), read_memory() if read_memory else USED_AT_REST
+        )
+        self.requests = ByteBudget(self.memory_shares.requests)
+        self.clients = Clients(reactor, self.take, self.clock, self.counters, max_connections, self.requests)
         jitter = RandomGenerator(stable_hash(configuration.seed, relay_settings.get("index", 0)))
         # The number of relays, and the seconds within which each asks for the list.
         self.fleet_pacing = (
@@ -255,9 +269,7 @@
         self.duties: tuple[int, ...] = ()  # the indexes of the load tracker and the judges, as last logged
         self.clock_check_timer: Any = None
         self.memory = (
-            ProcessMemory(
-                reactor, int(configuration.memory_mb * BYTES_PER_MB), read_memory, self.counters, self.on_memory_level
-            )
+            ProcessMemory(reactor, self.memory_shares, read_memory, self.counters, self.on_memory_level)
             if read_memory
             else None
         )
@@ -331,6 +343,7 @@
 
     def on_memory_level(self, level: MemoryLevel) -> None:
         """Memory has become short, or is short still, or is no longer."""
+        self.requests.capacity = request_capacity(self.memory_shares, level)
 
     def log_duties(self) -> None:
         """Log which relays act for the fleet, as far as this one knows, if that has changed."""
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from tealsail.choices.memory_budget import MemoryLevel
+from tealsail.choices.memory_budget import BYTES_PER_MB, MemoryLevel, share_out
 from tealsail.net.counters import Counters
-from tealsail.net.process_memory import BYTES_PER_MB, ProcessMemory, resident_bytes
+from tealsail.net.process_memory import ProcessMemory, resident_bytes
 
 from .fake import Reactor
 
@@ -13,9 +13,8 @@
     def setUp(self) -> None:
         self.used, self.levels = 30 * BYTES_PER_MB, []
         self.reactor, self.counters = Reactor(), Counters()
-        self.memory = ProcessMemory(
-            self.reactor, 64 * BYTES_PER_MB, lambda: self.used, self.counters, self.levels.append
-        )
+        shares = share_out(64 * BYTES_PER_MB, self.used)
+        self.memory = ProcessMemory(self.reactor, shares, lambda: self.used, self.counters, self.levels.append)
         self.memory.check()
 
     # Guards against a process of which nobody can tell how much memory it had.
