--- a/tealsail/choices/memory_budget.py
+++ b/tealsail/choices/memory_budget.py
@@ -10,7 +10,8 @@
 BYTES_PER_MB = 1 << 20
 USED_AT_REST = 30 * BYTES_PER_MB  # of a process, where nobody reads what it uses
 MIN_ROOM = 4 * BYTES_PER_MB  # that is shared out even where less is left
-REQUEST_SHARE = 0.25  # of the room
+REQUEST_SHARE = 1 / 3  # of the room
+LARGE_SHARE = 0.75  # of what requests may take: the rest is for small ones alone
 SHORT_SHARE = 0.75  # of the room, above which memory is short
 SHORT_CAPACITY = 0.5  # of what requests have otherwise, while memory is short
 REQUEST_COPIES = 3  # of a request's text: as it came, as a statement, and on its way to a unit
@@ -66,9 +67,9 @@
     def __init__(self, capacity: int) -> None:
         self.capacity, self.used = capacity, 0
 
-    def has_room(self, amount: int) -> bool:
-        """Whether that much may be added."""
-        return self.used + amount <= self.capacity
+    def has_room(self, amount: int, share: float = 1.0) -> bool:
+        """Whether that much may be added, by one that may use this share of the capacity."""
+        return self.used + amount <= share * self.capacity
 
     def add(self, amount: int) -> None:
         """Count more, also beyond the capacity: what is held already has to be counted."""
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -17,6 +17,7 @@
 
 from ..choices.connection_lifetimes import IDLE_GRACE, may_close_idle
 from ..choices.memory_budget import (
+    LARGE_SHARE,
     SMALL_MESSAGE,
     USED_AT_REST,
     ByteBudget,
@@ -563,7 +564,7 @@
 
     def reserve(self, client: ClientConnection, cost: int) -> bool:
         """Count a large message that has begun, if there is room; one that is incomplete for long makes room."""
-        while not self.requests.has_room(cost):
+        while not self.requests.has_room(cost, LARGE_SHARE):
             oldest = next(iter(self.incomplete), None)
             if oldest is None or not may_displace(self.clock() - oldest.incomplete_since):
                 return False
@@ -579,7 +580,8 @@
 
     def has_room_for(self, text: bytes) -> bool:
         """Whether a query that has come may wait and be begun."""
-        return self.requests.has_room(request_cost(len(text)))
+        share = 1.0 if len(text) <= SMALL_MESSAGE else LARGE_SHARE
+        return self.requests.has_room(request_cost(len(text)), share)
 
     def close(self) -> None:
         """Shut down: idle connections end now, the others with their last answer.  Called again until none is left."""
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -69,7 +69,7 @@
         self.relay, self.statement = relay, statement
         self.answer: Deferred[Answer] = Deferred(self.on_client_left)
         self.is_over = False  # answered, or the client has left
-        self.cost = request_cost(len(statement.text_before_wait) + len(statement.text_after_wait))
+        self.cost = request_cost(len(statement.text_before_wait) + len(statement.text_after_wait) + len(statement.key))
         relay.requests.add(self.cost)
         self.shots: dict[int, Shot] = {}  # those without an outcome, by shot number
         self.number, step = relay.facade.pick(
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
+from tealsail.choices.memory_budget import LARGE_SHARE, ByteBudget, request_cost
 from tealsail.choices.pipelining import MAX_ANSWER_BYTES, MAX_ANSWER_BYTES_IN_ALL, MAX_AT_ONCE, may_begin
 from tealsail.net import clients, messages
 from tealsail.net.counters import Counters
@@ -17,7 +18,9 @@
 EMPTY = message(b"Q", b"\0")
 
 
-class ClientConnections(unittest.TestCase):
+class ClientFixture(unittest.TestCase):
+    """Connections in memory whose requests are taken by the test."""
+
     def setUp(self) -> None:
         self.taken: list[Deferred] = []
         self.cancelled: list[int] = []
@@ -44,6 +47,12 @@
     def end_codes(self) -> list[str]:
         return sorted(name.rpartition(".")[2] for name in self.counters.counts if "client.ended" in name)
 
+    def wait(self, seconds: float) -> None:
+        for _ in range(round(seconds * 10)):
+            self.reactor.advance(0.1)
+
+
+class ClientConnections(ClientFixture):
     def test_declined_encryption_startup_and_empty_query_byte_by_byte(self) -> None:
         transport = self.client(opened=False)
         transport.feed(bytes.fromhex("0000000804d2162f0000000804d21630"), piece=1)
@@ -52,10 +61,6 @@
         sent = transport.sent()
         self.assertTrue(sent.startswith(STARTUP_RESPONSE[:9]) and sent.endswith(READY + message(b"I", b"") + READY))
 
-    def wait(self, seconds: float) -> None:
-        for _ in range(round(seconds * 10)):
-            self.reactor.advance(0.1)
-
     def test_connection_without_a_complete_message_is_closed_within_three_seconds(self) -> None:
         """Guards against hundreds of silent connections, and against messages that never end."""
         silent, greeted, half = self.client(opened=False), self.client(), self.client()
@@ -307,3 +312,63 @@
         transport.feed(client_query() * 3)
         self.assertTrue(transport.settle())
         self.assertEqual((len(self.taken), self.cancelled, self.end_codes()), (1, [0], ["left"]))
+
+
+LARGE_BYTES = 100_000
+
+
+class RequestMemory(ClientFixture):
+    """Connections in a process that has room for two large requests."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clients.requests = ByteBudget(int(2.5 * request_cost(LARGE_BYTES) / LARGE_SHARE))
+
+    def large_query(self) -> bytes:
+        return client_query(name="x" * LARGE_BYTES)
+
+    # Guards against large requests that add up over connections, and against a close where an answer is owed.
+    def test_a_large_request_without_room_is_refused_in_its_turn(self) -> None:
+        half = [self.client(), self.client()]
+        for transport in half:
+            transport.feed(self.large_query()[:50_000])
+        third = self.client()
+        third.feed(client_query() + self.large_query() + client_query(), piece=5000)
+        self.assertEqual((len(self.taken), third.sent(), third.closing), (2, b"", False))
+        self.assertLess(len(third.protocol.splitter.held), 5000)
+        for deferred in self.taken:
+            deferred.callback(VALUE)
+        refused = clients.encode_answer(clients.Rejected(0))
+        self.assertEqual(third.sent(), messages.value_response(VALUE) + refused + messages.value_response(VALUE))
+        half[0].feed(self.large_query()[50_000:])
+        self.assertEqual(len(self.taken), 3)
+
+    # Guards against large requests that leave no room for small ones.
+    def test_small_requests_have_room_of_their_own(self) -> None:
+        for _ in range(3):
+            self.client().feed(self.large_query()[:50_000])
+        small = self.client()
+        small.feed(client_query())
+        self.assertEqual(len(self.taken), 1)
+
+    # Guards against clients that stop half way and keep everybody else's large requests out.
+    def test_a_request_that_is_incomplete_for_long_gives_its_room_to_another(self) -> None:
+        stalled = self.client()
+        stalled.feed(self.large_query()[:50_000])
+        self.client().feed(self.large_query()[:50_000])
+        self.wait(0.5)
+        self.client().feed(self.large_query(), piece=5000)
+        self.assertEqual((len(self.taken), len(stalled.protocol.splitter.held)), (1, 0))
+        stalled.feed(self.large_query()[50_000:])
+        self.assertEqual(stalled.sent(), clients.encode_answer(clients.Rejected(0)))
+
+    # Guards against room that is never given back, whatever ends a request.
+    def test_all_room_is_given_back(self) -> None:
+        transports = [self.client() for _ in range(6)]
+        for transport, ending in zip(transports, (self.large_query(), self.large_query()[:5000], b"!", EMPTY * 40)):
+            transport.feed(client_query() + client_query(name="y" * 5000) + ending)
+        for deferred in self.taken[::2]:
+            deferred.callback(VALUE)
+        for transport in transports:
+            transport.drop()
+        self.assertEqual((self.clients.requests.used, self.clients.incomplete), (0, {}))
