Read little from one connection in a turn, and end those that send no queries

Cause: a turn of the event loop read 64 KiB from the connection and handled all of it, up to 13,000 messages of 5 bytes; messages that are no queries were never counted, so it went on for as long as the client wrote.

Change: a turn reads 4 KiB from a connection (64 KiB in the middle of a large message, or where all is dropped), and after 64 messages that are no queries the connection ends as a flood, in place of never.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -35,6 +35,9 @@
 MAX_HELD_BYTES = 64 * 1024  # of one connection's waiting queries; reading pauses above it and resumes below half
 ENTRY_BYTES = 256  # counted for each queue entry, besides its text
 PAUSED_CHECK_S = 0.05  # between checks whether a client has closed a connection that is not read
+READ_BYTES = 4096  # of one connection in one turn of the event loop, so that others have their turn
+LARGE_READ_BYTES = 64 * 1024  # the same in the middle of a large message, or where all is dropped
+MAX_OTHER_MESSAGES = 64  # of one connection that are no queries, up to its next query
 MAX_QUEUED_QUERIES = 32  # of one connection; a well-behaved client does not send so many at once
 SWEEP_INTERVAL_S = 0.1
 MAX_EVICTION_CANDIDATES = 8  # idle connections examined to find one that can make room
@@ -133,6 +136,7 @@
         self.paused_check_timer: Any = None  # of the next check while `read_paused`
         self.held_bytes = 0  # of the queue, and of the queries in `pending` behind the first
         self.idle_since = clients.clock()
+        self.other_messages = 0  # that were no queries, since the last query
         self.queued_queries, self.has_queried = 0, False  # `has_queried`: a complete query has come
         # Counted in `clients.requests`: for the large message that is incomplete, and when that was; for the queue.
         self.incomplete_cost = self.queued_cost = self.incomplete_since = 0
@@ -141,6 +145,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
         self.transport.registerProducer(self, True)  # so that `pauseProducing` is called when the buffer is full
         self.counters.add("clients.connections")
         self.is_admitted = self.clients.admit(self)
@@ -155,13 +160,7 @@
         try:
             for kind, body in self.splitter:
                 partial_since = None
-                self.release_incomplete()
-                if body is None:
-                    self.on_skipped_message(kind)
-                elif self.splitter.typed:
-                    self.on_message(messages.parse_client_message(kind, body))
-                else:
-                    self.on_first_message(messages.parse_first_message(body))
+                self.take_message(kind, body)
                 if self.code or self.ignores_input:
                     break
             self.hold_incomplete()
@@ -178,10 +177,26 @@
             self.partial_since = partial_since or self.clients.clock()
         self.process_queue()
 
+    def take_message(self, kind: bytes, body: bytes | None) -> None:
+        """Handle a complete message; `body` None: it was skipped.  Raises ProtocolError."""
+        self.release_incomplete()
+        self.other_messages = 0 if kind == b"Q" else self.other_messages + 1
+        if self.other_messages > MAX_OTHER_MESSAGES:
+            self.end_flood()
+        elif body is None:
+            self.on_skipped_message(kind)
+        elif self.splitter.typed:
+            self.on_message(messages.parse_client_message(kind, body))
+        else:
+            self.on_first_message(messages.parse_first_message(body))
+
     def hold_incomplete(self) -> None:
         """Hold the message that has begun if there is room for all of it, or else skip it to its end."""
+        if self.code or self.ignores_input:
+            return
+        self.transport.bufferSize = min(LARGE_READ_BYTES, max(READ_BYTES, self.splitter.missing()))
         length = self.splitter.incomplete_length()
-        if length <= SMALL_MESSAGE or self.incomplete_cost or self.code or self.ignores_input:
+        if length <= SMALL_MESSAGE or self.incomplete_cost:
             return
         cost = request_cost(length)
         if self.clients.reserve(self, cost):
@@ -276,7 +291,9 @@
         self.queue.append(entry)
         if isinstance(entry, ReceivedQuery):
             self.count_queued(request_cost(len(entry.text)))
-        self.ignores_input |= isinstance(entry, Ending)
+        if isinstance(entry, Ending):
+            self.ignores_input = True
+            self.transport.bufferSize = LARGE_READ_BYTES
         self.held_bytes += entry_bytes(entry)
         if self.held_bytes > MAX_HELD_BYTES and not self.read_paused:
             self.read_paused = True
