Begin no query of a client that has closed, also where the close is still unread

Cause: the end of a connection is read behind all that came before it, and what came before was begun on the way. Only connections whose reading is paused were looked at, each 50 ms.

Change: the kernel is asked (POLLRDHUP) before a query is begun.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -367,6 +367,8 @@
             return self.answer_empty(pending)
         if statements.SESSION_COMMAND.fullmatch(text):
             return self.set_answer(pending, messages.SET_RESPONSE)
+        if has_peer_closed(self.transport):  # which reading shows only behind all that is unread
+            return self.abort("left")
         try:
             pending.request = self.clients.take(statements.read(text), query.at)
         except statements.StatementError as problem:
