Remember the ids of requests that may have run for clients that left

Cause: units tell requests apart by their id, and the relay kept an id only until its attempt had ended; the end of the client's connection calls the attempt off, so that was at once.

An id whose attempts surely never ran, or whose client got its answer, is taken as before.

--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -22,6 +22,7 @@
     share_out,
 )
 from ..choices.rate_limits import RateLimiter, count_message_limits
+from ..choices.recent_ids import RecentIds
 from ..facade import (
     ClientLeft,
     Facade,
@@ -37,7 +38,7 @@
     VoteAnswered,
 )
 from ..parts import RandomGenerator, stable_hash
-from ..policy import JUDGES
+from ..policy import JUDGES, OUTCOMES_NOT_RUN
 from .clients import Answer, Clients, Forfeited, Rejected
 from .connections import cancel
 from .counters import Counters
@@ -73,6 +74,7 @@
         self.cost = request_cost(len(statement.text_before_wait) + len(statement.text_after_wait) + len(statement.key))
         relay.requests.add(self.cost)
         self.shots: dict[int, Shot] = {}  # those without an outcome, by shot number
+        self.may_have_run = self.has_client_left = False  # `may_have_run`: one of its shots
         self.number, step = relay.facade.pick(
             statement.workload,
             statement.customer,
@@ -132,6 +134,7 @@
         self.shots.pop(shot_number, None)
         self.relay.counters.add(f"units.{result.outcome}")
         logger.debug("request {} shot {} ended: {}", self.statement.id, shot_number, result.outcome)
+        self.may_have_run |= result.outcome not in OUTCOMES_NOT_RUN
         fields = self.relay.load_fields
         load = {name: figure for name, figure in (result.load or {}).items() if name in fields}
         if self.relay.record:
@@ -156,7 +159,7 @@
             self.shots[shot_number].stop("cancelled")
 
     def on_client_left(self, answer: Deferred) -> None:
-        self.is_over = True
+        self.is_over = self.has_client_left = True
         logger.debug("request {}: its client has left", self.statement.id)
         if self.relay.record:
             self.relay.record.invocation_ended(self.number, None)
@@ -184,6 +187,8 @@
         if self.is_over and not self.shots and self.relay.serving.pop(self.number, None):
             self.relay.requests.remove(self.cost)
             self.relay.open_ids.discard(self.statement.id)
+            if self.may_have_run and self.has_client_left:
+                self.relay.recent_ids.add(self.statement.id, self.statement.workload)
 
 
 class Relay:
@@ -263,6 +268,7 @@
         self.zone_indexes = {name: index for index, name in enumerate(relay_settings.get("zones", []))}
         self.serving: dict[int, ActiveInvocation] = {}  # by the invocation's number
         self.open_ids: set[bytes] = set()  # the clients' ids of the invocations in `serving`
+        self.recent_ids = RecentIds(len(self.facade.workloads))
         self.client_listener: Any = None
         self.hold_timer: Any = None  # of a client listener that is held until the list has come
         self.peer_listener: Any = None
@@ -414,6 +420,8 @@
             raise StatementError("no such workload")
         if statement.id in self.open_ids:  # units tell invocations apart by it
             raise StatementError("the id of an open invocation")
+        if statement.id in self.recent_ids:
+            raise StatementError("the id of an earlier invocation")
         answer = ActiveInvocation(self, statement, at).answer
         self.schedule_tick()
         return answer
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from tealsail.choices.connection_lifetimes import answer_deadline
+from tealsail.choices.recent_ids import RecentIds
 from tealsail.choices.spill import SpillFactor, ZoneView, split
 from tealsail.choices.tiers import Tier, Zoning, tiers
 from tealsail.choices.zone_recovery import OUT, RAMP, UP, WAITING, ZoneRecovery
@@ -327,5 +328,19 @@
         self.assertFalse(found.is_alert(ALERT_TIME + 1))
 
 
+class RecentRequests(unittest.TestCase):
+    # Guards against a table of ids that grows without end, and a flood of one class that pushes out the others' ids.
+    def test_each_class_keeps_its_latest_ids(self) -> None:
+        recent = RecentIds(4)
+        recent.add(b"first", "order")
+        for number in range(3 * recent.capacity):
+            recent.add(b"%d" % number, "basket")
+            recent.add(b"%d" % number, "basket")
+        self.assertTrue(b"first" in recent)
+        self.assertFalse(b"0" in recent)
+        self.assertTrue(b"%d" % (2 * recent.capacity) in recent)
+        self.assertEqual(len(recent.known), recent.capacity + 1)
+
+
 if __name__ == "__main__":
     unittest.main()
