Bound what answers hold: large ones wait at their units, unread ones make room

Operators saw: memory that grows while hundreds of clients ask for values of 64 KiB and do not read them, and a process over 32 MB.

Cause: a unit's answer was read whatever was held already (256 KiB a connection, 480 connections), and answers written to a client that does not read stayed in its transport's buffer, up to 32 of them, without a bound for all.

The header of a large answer reserves what it will take; without room its unit's connection is not read for now, the oldest first (one is always read, so that there is progress). Bytes that a client leaves unread count until they are gone; where answers have no room, the client that has left them longest, for a second or more, is dropped (unread). A turn reads 4 KiB of a unit's connection as well, and one with more than 64 messages outside an answer is unreadable. Tests in memory: waiting, progress, unasked messages, unread clients; each failed before, or could not be written.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -21,6 +21,7 @@
     SMALL_MESSAGE,
     USED_AT_REST,
     ByteBudget,
+    may_abort_unread,
     may_displace,
     request_cost,
     share_out,
@@ -127,6 +128,7 @@
         self.queue: deque[ReceivedQuery | bytes | Ending] = deque()  # bytes: an answer that is known already
         self.pending: deque[PendingAnswer] = deque()  # begun and not written yet; emptied by the answers or the end
         self.answer_bytes = 0  # of known answers in `pending`
+        self.unsent_bytes = self.unread_since = 0  # while the transport's buffer is full: what is in it, and since when
         self.is_admitted = True  # False: all places were taken when it came
         self.came_during_shutdown = clients.closing
         self.is_half_closed, self.half_close_timer = False, None  # whether our half has ended; the wait for the other
@@ -409,16 +411,26 @@
         """Count bytes of answers that wait for an earlier one, here and for all connections together."""
         self.answer_bytes += more
         self.clients.answer_bytes += more
+        self.clients.answers.add(more)
 
     def write(self, data: bytes) -> None:
         self.transport.write(data)
+        if self.write_paused:
+            self.unsent_bytes += len(data)
+            self.clients.answers.add(len(data))
+
+    def release_unsent(self) -> None:
+        """The transport holds nothing any more."""
+        unsent, self.unsent_bytes = self.unsent_bytes, 0
+        self.clients.answers.remove(unsent)
 
     def pauseProducing(self) -> None:
         """Called by the transport when its buffer is full: begin nothing more until the client reads."""
-        self.write_paused = True
+        self.write_paused, self.unread_since = True, self.clients.clock()
 
     def resumeProducing(self) -> None:
         self.write_paused = False
+        self.release_unsent()
         self.process_queue()
 
     def stopProducing(self) -> None:
@@ -483,6 +495,7 @@
         cancel(self.paused_check_timer)
         self.clear_queue()
         self.release_incomplete()
+        self.release_unsent()
         self.splitter.clear()
         self.code = code = self.code or (
             "left" if self.pending else "closed" if reason.check(ConnectionDone) else "broken"
@@ -518,11 +531,14 @@
         counters: Counters,
         max_connections: int,
         requests: ByteBudget | None = None,
+        answers: ByteBudget | None = None,
     ) -> None:
-        """`requests`: what the requests of all clients hold, by default as in a process of DEFAULT_MEMORY bytes."""
+        """What the requests and the answers of all clients hold is by default as in a process of DEFAULT_MEMORY."""
         self.reactor, self.take, self.clock, self.counters = reactor, take, clock, counters
         self.max_connections = max_connections
-        self.requests = requests or ByteBudget(share_out(DEFAULT_MEMORY, USED_AT_REST).requests)
+        shares = share_out(DEFAULT_MEMORY, USED_AT_REST)
+        self.requests = requests or ByteBudget(shares.requests)
+        self.answers = answers or ByteBudget(shares.answers)
         self.connections: OrderedDict[ClientConnection, None] = OrderedDict()
         self.incomplete: dict[ClientConnection, None] = {}  # those with a large incomplete message, the oldest first
         self.closing = False
@@ -547,8 +563,21 @@
                 and client.can_be_closed()
             ):
                 client.end("crowded")
+        self.abort_unread()
         self.sweep_timer = self.reactor.callLater(SWEEP_INTERVAL_S, self.sweep)
 
+    def abort_unread(self) -> None:
+        """Where answers have no room, drop the clients that have left theirs unread longest."""
+        excess, now = self.answers.used - self.answers.capacity, self.clock()
+        if excess <= 0:
+            return
+        unread = [each for each in self.connections if each.unsent_bytes and may_abort_unread(now - each.unread_since)]
+        for client in sorted(unread, key=lambda each: each.unread_since):
+            if excess <= 0:
+                return
+            excess -= client.unsent_bytes
+            client.abort("unread")
+
     def stop_sweeping(self) -> None:
         if self.sweep_timer.active():
             self.sweep_timer.cancel()
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -219,18 +219,22 @@
         self.live_settings = LiveSettings(self.facade.relay, relay_settings)
         # To clients, and as many to units.
         max_connections = max(MIN_DESCRIPTORS, configuration.sockets - RESERVED_DESCRIPTORS) // 2
+        self.memory_shares = share_out(
+            int(configuration.memory_mb * BYTES_PER_MB), read_memory() if read_memory else USED_AT_REST
+        )
+        self.requests = ByteBudget(self.memory_shares.requests)
+        self.answers = ByteBudget(self.memory_shares.answers)
         self.units = Units(
             reactor,
             self.counters,
             relay_settings.get("connect_wait", TENTHS_PER_SECOND) / TENTHS_PER_SECOND,
             relay_settings.get("idle_time", 30 * TENTHS_PER_SECOND) / TENTHS_PER_SECOND,
             max_connections,
+            self.answers,
         )
-        self.memory_shares = share_out(
-            int(configuration.memory_mb * BYTES_PER_MB), read_memory() if read_memory else USED_AT_REST
+        self.clients = Clients(
+            reactor, self.take, self.clock, self.counters, max_connections, self.requests, self.answers
         )
-        self.requests = ByteBudget(self.memory_shares.requests)
-        self.clients = Clients(reactor, self.take, self.clock, self.counters, max_connections, self.requests)
         jitter = RandomGenerator(stable_hash(configuration.seed, relay_settings.get("index", 0)))
         # The number of relays, and the seconds within which each asks for the list.
         self.fleet_pacing = (
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from ..choices.connection_lifetimes import choose_idle_connection, idle_limits
+from ..choices.memory_budget import SMALL_MESSAGE, USED_AT_REST, ByteBudget, answer_cost, share_out
 from . import messages
 from .connections import OutgoingConnection
 from .counters import Counters
@@ -22,6 +23,10 @@
 USER = b"backend"  # this and the next as clients name them; units welcome any
 DATABASE = b"store"
 LOAD_PARAMETER = b"stats"  # the parameter in which a unit reports its load
+READ_BYTES = 4096  # of one connection in one turn of the event loop
+LARGE_READ_BYTES = 64 * 1024  # the same in the middle of a large message
+MAX_UNASKED_MESSAGES = 64  # of one connection outside an answer, since the last answer
+DEFAULT_MEMORY = 192 * 1024 * 1024  # bytes that a process may use, where the configuration does not say
 LOAD_LIMIT = 1e6  # every figure of a load report is below it
 
 
@@ -66,10 +71,13 @@
         self.stop_result: ShotResult | None = None  # delivered at the connection's end, if the shot was stopped
         self.idle_since = 0.0
         self.answered_at = 0.0  # when the last answer was complete
+        self.unasked_messages = 0  # since the last answer
+        self.answer_cost = 0  # counted in `units.answers` for a large answer
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.counters.add("units.connections")
+        self.transport.bufferSize = READ_BYTES
         self.transport.write(messages.startup(USER, DATABASE))
 
     def dataReceived(self, data: bytes) -> None:
@@ -81,12 +89,32 @@
                 self.on_message(messages.parse_unit_message(kind, body))
                 if self.code:
                     return
+            self.hold_answer()
         except messages.ProtocolError as problem:
             self.counters.add("units.unreadable")
             logger.warning("unreadable from unit {}: {}", self.pool.address, problem)
             self.end("unreadable")
 
+    def hold_answer(self) -> None:
+        """Hold a large answer that has begun if there is room for all of it; else leave it with the unit for now."""
+        self.transport.bufferSize = min(LARGE_READ_BYTES, max(READ_BYTES, self.splitter.missing()))
+        length = self.splitter.incomplete_length()
+        if length > SMALL_MESSAGE and not self.answer_cost:
+            self.answer_cost = answer_cost(length)
+            if not self.pool.units.hold_answer(self):
+                self.transport.pauseProducing()
+
+    def release_answer(self) -> None:
+        """The answer is delivered, or will not be."""
+        if self.answer_cost:
+            self.pool.units.release_answer(self)
+            self.answer_cost = 0
+
     def on_message(self, message: Any) -> None:
+        if isinstance(message, messages.ParameterStatus | messages.IgnoredMessage):
+            self.unasked_messages += 1
+            if self.unasked_messages > MAX_UNASKED_MESSAGES:
+                raise messages.ProtocolError("too many messages that were not asked for")
         match message:
             case messages.ParameterStatus(name, value) if name == LOAD_PARAMETER:
                 load = load_report(value)
@@ -102,6 +130,7 @@
                 self.probe_answered = True
             case messages.ReadyForQuery() if self.probe_answered:
                 shot, self.probing_shot, self.probe_answered = self.probing_shot, None, False
+                self.unasked_messages = 0
                 shot.on_connection(self)
             case _:  # more of an earlier answer, which could be taken for the answer to the next query
                 raise messages.ProtocolError(f"{type(message).__name__} was not expected")
@@ -130,7 +159,7 @@
             case messages.ErrorResponse(code, _) if not self.result:
                 self.result = ShotResult("full" if code == b"53300" else "error")
             case messages.ReadyForQuery() if self.result:
-                self.answered_at = self.pool.reactor.seconds()
+                self.answered_at, self.unasked_messages = self.pool.reactor.seconds(), 0
                 self.finish_shot(self.result)
                 self.pool.release(self)
             case _:
@@ -166,6 +195,8 @@
         shot, self.shot = self.shot, None
         if shot:
             shot.finish((self.result or otherwise)._replace(load=self.pool.load if self.load_reported else None))
+        self.description = self.row = self.result = None
+        self.release_answer()
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
         self.pool.remove(self)
@@ -178,6 +209,7 @@
             shot.begin()
         # A query may have run only if its last byte was written.
         self.finish_shot(self.stop_result or ShotResult("reset" if self.written else "unreachable"))
+        self.splitter.clear()
         self.counters.connection_ended("unit", self.why(reason), self.pool.address)
 
 
@@ -348,11 +380,22 @@
     """The connection pools of all listed units, by the unit's number."""
 
     def __init__(
-        self, reactor: Any, counters: Counters, connect_wait: float, idle_time: float, max_connections: int
+        self,
+        reactor: Any,
+        counters: Counters,
+        connect_wait: float,
+        idle_time: float,
+        max_connections: int,
+        answers: ByteBudget | None = None,
     ) -> None:
         """Times in seconds: `connect_wait` bounds the setup of a connection and a probe; after `idle_time` the unit's
-        machine ends an idle connection.  `max_connections` is for all units together."""
+        machine ends an idle connection.  `max_connections` is for all units together; `answers` what large answers
+        hold, by default as in a process of DEFAULT_MEMORY bytes."""
         self.reactor, self.counters = reactor, counters
+        self.answers = answers or ByteBudget(share_out(DEFAULT_MEMORY, USED_AT_REST).answers)
+        self.answers.on_freed = self.resume_waiting
+        self.receiving: dict[Connection, None] = {}  # those whose large answer is counted
+        self.waiting: dict[Connection, None] = {}  # those whose large answer has no room yet, the oldest first
         self.connect_wait, self.max_connections = connect_wait, max_connections
         self.idle_limit, self.idle_check_interval = idle_limits(idle_time)
         self.pools: dict[int, Pool] = {}
@@ -390,6 +433,37 @@
         shot.begin()
         return shot
 
+    def hold_answer(self, connection: Connection) -> bool:
+        """Count a large answer that has begun if there is room, or if none is being received; else it waits."""
+        if self.waiting or not self.has_room_for_answer(connection):
+            self.counters.add("units.answers_waited")
+            self.waiting[connection] = None
+            return False
+        self.start_receiving(connection)
+        return True
+
+    def has_room_for_answer(self, connection: Connection) -> bool:
+        return not self.receiving or self.answers.has_room(connection.answer_cost)
+
+    def start_receiving(self, connection: Connection) -> None:
+        self.receiving[connection] = None
+        self.answers.add(connection.answer_cost)
+
+    def release_answer(self, connection: Connection) -> None:
+        """A large answer is held no longer, or waits no longer."""
+        self.waiting.pop(connection, None)
+        if connection in self.receiving:
+            del self.receiving[connection]
+            self.answers.remove(connection.answer_cost)
+
+    def resume_waiting(self) -> None:
+        """Go on with the answers that wait, as far as there is room now."""
+        while self.waiting and self.has_room_for_answer(next(iter(self.waiting))):
+            connection = next(iter(self.waiting))
+            del self.waiting[connection]
+            self.start_receiving(connection)
+            connection.transport.resumeProducing()
+
     def held(self) -> int:
         """The number of open connections, those being set up included."""
         return sum(len(pool.all) for pool in (*self.pools.values(), *self.retired))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -372,3 +372,19 @@
         for transport in transports:
             transport.drop()
         self.assertEqual((self.clients.requests.used, self.clients.incomplete), (0, {}))
+
+    # Guards against answers that pile up in the process for clients that do not read them.
+    def test_clients_that_leave_answers_unread_make_room_the_longest_first(self) -> None:
+        self.clients.answers.capacity = 150_000
+        value = VALUE._replace(row=messages.DataRow(bytes(100_000), 1))
+        unread = [self.client(), self.client()]
+        for transport, deferred in zip(unread, (0, 1)):
+            transport.feed(client_query())
+            transport.producer.pauseProducing()
+            self.taken[deferred].callback(value)
+            self.wait(0.3)
+        self.assertEqual([each.settle() for each in unread], [False, False])
+        self.wait(0.6)
+        self.assertEqual([each.settle() for each in unread], [True, False])
+        unread[1].producer.resumeProducing()
+        self.assertEqual((self.clients.answers.used, self.end_codes()), (0, ["unread"]))
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -5,6 +5,7 @@
 from twisted.internet.error import ConnectionDone
 
 from tealsail.choices.connection_lifetimes import ANSWER_REST_S
+from tealsail.choices.memory_budget import ByteBudget, answer_cost
 from tealsail.net import messages, units
 from tealsail.net.counters import Counters
 
@@ -264,3 +265,40 @@
             transport.feed(nonsense, piece=len(nonsense) if len(results) else 1)
             self.assertTrue(transport.settle())
             self.assertEqual(results[0].outcome, "reset")
+
+    def large_answer(self, size: int = 50_000) -> bytes:
+        row = message(b"D", b"\0\1" + size.to_bytes(4, "big") + bytes(size))
+        return message(b"T", b"\0\1content\0" + bytes(16) + b"\0\1") + row + message(b"C", b"SELECT 1\0") + READY
+
+    # Guards against large answers that add up over connections.
+    def test_large_answers_beyond_the_room_wait_at_their_units(self) -> None:
+        self.units.answers.capacity = int(1.5 * answer_cost(50_000))
+        results = [self.shoot(), self.shoot(), self.shoot()]
+        transports = [self.complete_connect() for _ in results]
+        for transport in transports:
+            transport.sent()
+            transport.feed(self.large_answer()[:20_000])
+        self.assertEqual([each.producerState for each in transports], ["producing", "paused", "paused"])
+        transports[0].feed(self.large_answer()[20_000:])
+        self.assertEqual([each.producerState for each in transports], ["producing", "producing", "paused"])
+        transports[1].drop()
+        transports[2].feed(self.large_answer()[20_000:])
+        self.assertEqual([each[0].outcome for each in results], ["served", "reset", "served"])
+        self.assertEqual((self.units.answers.used, self.units.waiting, self.units.receiving), (0, {}, {}))
+
+    # Guards against answers that never come because unread ones have taken all the room.
+    def test_one_large_answer_is_received_however_little_room_there_is(self) -> None:
+        self.units.answers = ByteBudget(0)
+        results, transport = self.shoot(), self.complete_connect()
+        transport.sent()
+        transport.feed(self.large_answer(), piece=9000)
+        self.assertEqual(results[0].outcome, "served")
+
+    # Guards against a unit that keeps the loop busy with messages that nobody asked for.
+    def test_connection_with_very_many_unasked_messages_is_ended(self) -> None:
+        results, transport = self.shoot(), self.complete_connect()
+        transport.sent()
+        transport.feed(message(b"N", b"") * 60 + self.large_answer(9) + message(b"N", b"") * 60)
+        self.assertEqual((results[0].outcome, transport.closing), ("served", False))
+        transport.feed(message(b"S", b"stats\0util=0.5\0") * 10)
+        self.assertTrue(transport.closing)
