Close a crowd's connections outside the event that ends them

Operators saw: an error with a traceback of 15 lines in the log for each connection that ended while 32 others waited for their client's end, in crowds hundreds of them.

Cause: with our half ended, loseConnection ends the connection at once, inside the read event; the loop then wrote to it, since the same event said that it may. Evidence: the two stacks of one connection, its end in ClientConnection.end below doRead, and the write of the same event.

Change: the close comes in the loop's next turn.

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -473,7 +473,8 @@
             half_close(self.transport)
         else:
             half_close(self.transport)
-            self.transport.loseConnection()
+            # Later, since it may end the connection at once, of which the event loop may have another event at hand.
+            self.clients.reactor.callLater(0, self.transport.loseConnection)
 
     def writeConnectionLost(self) -> None:
         """All is written and our half has ended."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,8 +17,12 @@
 import threading
 import tomllib
 import unittest
+from typing import Any
+
+from twisted.python import log
 
 from tealsail.choices.backoff import FIRST_LIST_WAIT_S
+from tealsail.net.clients import MAX_HALF_CLOSED
 from tealsail.net.shutdown import STOP_GRACE_S
 
 from .crossing import EMPTY, NOTHING, REAL_TIME_LIMIT_S, Crossing, free_port, long_one_shot_query, row
@@ -134,6 +138,27 @@
         self.assertEqual(len(self.relay.clients.connections), 0)
         self.assertEqual(self.relay.clients.half_closed, 0)
 
+    # Guards against a failure of the event loop, with a traceback in the log, for each client of a crowd that is ended.
+    def test_connection_that_ends_while_it_can_be_written_to_causes_no_failure(self) -> None:
+        problems: list[str] = []
+
+        def note(event: dict[str, Any]) -> None:
+            if event["isError"]:
+                problems.append(str(event["failure"]))
+
+        log.addObserver(note)
+        self.addCleanup(log.removeObserver, note)
+        clients = self.start_relay().clients
+        clients.half_closed = MAX_HALF_CLOSED
+        client = self.connect()
+        client.sendall(EMPTY)
+        self.run_until(lambda: self.reactor.getWriters())
+        client.sendall(message(b"!", b""))
+        self.wait_until_unread(client)
+        self.run_until(lambda: not clients.connections)
+        self.run_once()
+        self.assertEqual(problems, [])
+
 
 class AtTheUnits(Crossing):
     """What crosses on connections to units."""
