Connect without a class and three wrappers for each connection

Each outgoing connection made a class of its own (connectProtocol) and four objects around it, all in cycles that only the garbage collector frees: 152 classes among the garbage of 1.5 s in which units were connected to. One factory in net/connections.py takes their place.

--- a/tealsail/net/connections.py
+++ b/tealsail/net/connections.py
@@ -6,9 +6,9 @@
 
 from typing import Any
 
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
 from ..choices.backoff import Backoff
@@ -21,6 +21,13 @@
     """A connection that `end` aborts at once; what comes after that is not read any more."""
 
     code = ""  # the reason for which this side ended it; empty until then
+    when_connected: Deferred | None = None  # fires when it is up
+
+    def makeConnection(self, transport: Any) -> None:
+        super().makeConnection(transport)
+        when_connected, self.when_connected = self.when_connected, None
+        if when_connected:
+            when_connected.callback(self)
 
     def end(self, code: str) -> None:
         if not self.code:
@@ -32,6 +39,35 @@
         return self.code or ("closed" if reason.check(ConnectionDone) else "broken")
 
 
+class OutgoingFactory(ClientFactory):
+    """Makes one connection; `connect` is the way to use it."""
+
+    noisy = False
+
+    def __init__(self, connection: OutgoingConnection) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, address: Any) -> OutgoingConnection:
+        return self.connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        when_connected, self.connection.when_connected = self.connection.when_connected, None
+        if when_connected:
+            when_connected.errback(reason)
+
+
+def connect(reactor: Any, address: str, connection: OutgoingConnection, timeout: float) -> Deferred:
+    """Connect to `host:port` within `timeout` seconds; fires with the connection once it is up.
+
+    It fails as Twisted's connectTCP does.  To cancel the Deferred stops the attempt.
+    """
+    host, port = address.rsplit(":", 1)
+    when_connected: Deferred = Deferred(lambda _: connector.stopConnecting())
+    connection.when_connected = when_connected
+    connector = reactor.connectTCP(host, int(port), OutgoingFactory(connection), timeout)
+    return when_connected
+
+
 class PersistentConnection:
     """One connection to an address, opened again after it ends.
 
@@ -65,9 +101,7 @@
         if not self.stopped:
             cancel(self.retry_timer)
             self.attempt, self.is_connecting = self.attempt + 1, True
-            host, port = self.address.rsplit(":", 1)
-            endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=CONNECT_TIMEOUT_S)
-            connectProtocol(endpoint, self.new_connection()).addCallbacks(
+            connect(self.reactor, self.address, self.new_connection(), CONNECT_TIMEOUT_S).addCallbacks(
                 self.on_connected, self.on_refused, callbackArgs=(self.attempt,), errbackArgs=(self.attempt,)
             )
 
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -9,14 +9,13 @@
 
 from loguru import logger
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
 from ..choices.connection_lifetimes import choose_idle_connection, idle_limits
 from ..choices.memory_budget import SMALL_MESSAGE, USED_AT_REST, ByteBudget, answer_cost, share_out
 from . import messages
-from .connections import OutgoingConnection
+from .connections import OutgoingConnection, connect
 from .counters import Counters
 from .messages import Value
 
@@ -323,9 +322,7 @@
             connection.ready.errback(ConnectionError("unreachable"))
             return connection.ready
         self.all[connection] = None
-        host, port = self.address.rsplit(":", 1)
-        endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), timeout=self.units.connect_wait)
-        connected = connectProtocol(endpoint, connection)
+        connected = connect(self.reactor, self.address, connection, self.units.connect_wait)
         timer = self.reactor.callLater(self.units.connect_wait, self.on_setup_timeout, connection, connected)
 
         def refused(reason: Failure) -> None:
