Collect ended requests sooner, and squeeze only large requests while memory is short

Operators saw: small objects that grow by 6 MB while hundreds of clients ask, though 2.5 MB are in use.

Cause: requests, shots and connections refer to each other and wait for the garbage collector, whose full round waits for a quarter as many new objects as the imports have left.

Change: what is imported is left out of collections, full ones come three times sooner; short memory squeezes large requests alone; one object stands for all refusals.

--- a/tealsail/choices/memory_budget.py
+++ b/tealsail/choices/memory_budget.py
@@ -14,8 +14,8 @@
 REQUEST_SHARE = 1 / 3  # of the room
 ANSWER_SHARE = 0.25  # of the room
 LARGE_SHARE = 0.75  # of what requests may take: the rest is for small ones alone
+SHORT_LARGE_SHARE = 0.4  # the same while memory is short
 SHORT_SHARE = 0.75  # of the room, above which memory is short
-SHORT_CAPACITY = 0.5  # of what requests have otherwise, while memory is short
 REQUEST_COPIES = 3  # of a request's text: as it came, as a statement, and on its way to a unit
 REQUEST_OVERHEAD = 2048  # of a request besides its text
 ANSWER_COPIES = 2  # of an answer's row: as it came, and as it is written to the client
@@ -55,9 +55,9 @@
     return MemoryLevel.SHORT if used > shares.short_above else MemoryLevel.NORMAL
 
 
-def request_capacity(shares: MemoryShares, level: MemoryLevel) -> int:
-    """What requests may take at this level."""
-    return int(shares.requests * (SHORT_CAPACITY if level == MemoryLevel.SHORT else 1))
+def large_share(level: MemoryLevel) -> float:
+    """The part of what requests may take that is open to large ones."""
+    return SHORT_LARGE_SHARE if level == MemoryLevel.SHORT else LARGE_SHARE
 
 
 def request_cost(length: int) -> int:
--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -17,6 +17,7 @@
 from ..net.process_memory import resident_bytes
 from ..net.relay import Relay
 from ..net.relay_configuration import ConfigurationError, UnreadableConfiguration, read, reread
+from .process_memory import keep_from_collector
 from .signals import SIGNALS
 
 
@@ -142,5 +143,6 @@
         relay.start()
     except (ArithmeticError, AttributeError, LookupError, TypeError) as problem:
         raise ConfigurationError(f"the settings can't be used: {type(problem).__name__}: {problem}") from None
+    keep_from_collector()
     reactor.run(installSignalHandlers=False)
     return 0
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -85,6 +85,9 @@
             return messages.value_response(answer)
 
 
+NO_ROOM_ANSWER = encode_answer(Rejected(0))  # one object for all, since many of them may wait
+
+
 class ReceivedQuery(NamedTuple):
     """A query, and when it came."""
 
@@ -231,7 +234,7 @@
         """Answer a query that there is no room for, once those before it are answered."""
         self.has_queried = True
         self.counters.add("clients.no_memory")
-        self.enqueue(encode_answer(Rejected(0)))
+        self.enqueue(NO_ROOM_ANSWER)
 
     def on_first_message(self, message: messages.Startup | messages.EncryptionRequest | messages.CancelRequest) -> None:
         match message:
@@ -540,6 +543,7 @@
         shares = share_out(DEFAULT_MEMORY, USED_AT_REST)
         self.requests = requests or ByteBudget(shares.requests)
         self.answers = answers or ByteBudget(shares.answers)
+        self.large_share = LARGE_SHARE  # of what requests may take, for large ones
         self.connections: OrderedDict[ClientConnection, None] = OrderedDict()
         self.incomplete: dict[ClientConnection, None] = {}  # those with a large incomplete message, the oldest first
         self.closing = False
@@ -624,7 +628,7 @@
 
     def reserve(self, client: ClientConnection, cost: int) -> bool:
         """Count a large message that has begun, if there is room; one that is incomplete for long makes room."""
-        while not self.requests.has_room(cost, LARGE_SHARE):
+        while not self.requests.has_room(cost, self.large_share):
             oldest = next(iter(self.incomplete), None)
             if oldest is None or not may_displace(self.clock() - oldest.incomplete_since):
                 return False
@@ -640,7 +644,7 @@
 
     def has_room_for(self, text: bytes) -> bool:
         """Whether a query that has come may wait and be begun."""
-        share = 1.0 if len(text) <= SMALL_MESSAGE else LARGE_SHARE
+        share = 1.0 if len(text) <= SMALL_MESSAGE else self.large_share
         return self.requests.has_room(request_cost(len(text)), share)
 
     def close(self) -> None:
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -17,7 +17,7 @@
     USED_AT_REST,
     ByteBudget,
     MemoryLevel,
-    request_capacity,
+    large_share,
     request_cost,
     share_out,
 )
@@ -355,7 +355,7 @@
 
     def on_memory_level(self, level: MemoryLevel) -> None:
         """Memory has become short, or is short still, or is no longer."""
-        self.requests.capacity = request_capacity(self.memory_shares, level)
+        self.clients.large_share = large_share(level)
 
     def log_duties(self) -> None:
         """Log which relays act for the fleet, as far as this one knows, if that has changed."""
