Hold less for each connection: slots, and lists in place of two deques

Cause: a client's connection had 30 attributes, one too many for Python's shared keys, and two deques of 620 bytes each while empty; 400 connections took 3.2 MB. Change: slots for the connections of clients and units and for the splitter, lists for queue and pending (at most some hundred entries).

--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -3,7 +3,7 @@
 Times are in tenths of a millisecond unless a name ends in `_S` (seconds).
 """
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -125,11 +125,43 @@
     answers keep the order of the queries.  The first of `pending` is always one whose answer is not known yet.
     """
 
+    __slots__ = (
+        "clients",
+        "counters",
+        "splitter",
+        "queue",
+        "pending",
+        "answer_bytes",
+        "unsent_bytes",
+        "unread_since",
+        "is_admitted",
+        "came_during_shutdown",
+        "is_half_closed",
+        "half_close_timer",
+        "skips_to_sync",
+        "is_processing",
+        "write_paused",
+        "ignores_input",
+        "read_paused",
+        "paused_check_timer",
+        "held_bytes",
+        "idle_since",
+        "other_messages",
+        "queued_queries",
+        "has_queried",
+        "incomplete_cost",
+        "queued_cost",
+        "incomplete_since",
+        "partial_since",
+        "code",
+        "detail",
+    )  # since a process may hold hundreds
+
     def __init__(self, clients: "Clients") -> None:
         self.clients, self.counters = clients, clients.counters
         self.splitter = messages.MessageSplitter(typed=False)
-        self.queue: deque[ReceivedQuery | bytes | Ending] = deque()  # bytes: an answer that is known already
-        self.pending: deque[PendingAnswer] = deque()  # begun and not written yet; emptied by the answers or the end
+        self.queue: list[ReceivedQuery | bytes | Ending] = []  # bytes: an answer that is known already
+        self.pending: list[PendingAnswer] = []  # begun and not written yet; emptied by the answers or the end
         self.answer_bytes = 0  # of known answers in `pending`
         self.unsent_bytes = self.unread_since = 0  # while the transport's buffer is full: what is in it, and since when
         self.is_admitted = True  # False: all places were taken when it came
@@ -320,7 +352,7 @@
             return
         self.is_processing = True
         while self.queue and not self.code and not self.write_paused and self.may_begin_first():
-            first = self.queue.popleft()
+            first = self.queue.pop(0)
             if isinstance(first, Ending):
                 self.end(first.code, first.last_message, first.detail)
                 break
@@ -404,7 +436,7 @@
         pending.request, pending.answer = None, answer
         self.add_answer_bytes(len(answer))
         while self.pending and self.pending[0].answer is not None:
-            known = self.pending.popleft().answer
+            known = self.pending.pop(0).answer
             self.add_answer_bytes(-len(known))
             self.write(known)
             if self.pending:
--- a/tealsail/net/messages.py
+++ b/tealsail/net/messages.py
@@ -123,6 +123,8 @@
     None.
     """
 
+    __slots__ = "typed", "held", "skipped_kind", "unskipped"
+
     def __init__(self, typed: bool) -> None:
         """`typed`: whether messages begin with a type byte, as all do but a client's first ones."""
         self.typed = typed
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -53,6 +53,29 @@
 class Connection(OutgoingConnection):
     """One connection to a unit: being set up, idle, being probed, or with one shot on it."""
 
+    __slots__ = (
+        "pool",
+        "counters",
+        "splitter",
+        "ready",
+        "shot",
+        "probing_shot",
+        "is_set_up",
+        "load_reported",
+        "written",
+        "probe_answered",
+        "setup_outcome",
+        "description",
+        "row",
+        "unsent",
+        "result",
+        "stop_result",
+        "idle_since",
+        "answered_at",
+        "unasked_messages",
+        "answer_cost",
+    )  # since a process may hold hundreds
+
     def __init__(self, pool: "Pool") -> None:
         self.pool, self.counters = pool, pool.counters
         self.splitter = messages.MessageSplitter(typed=True)
