Remember the ids of requests that may not run twice, however they ended

Cause: only requests that were open when their client left were remembered. Change: ids of one-shot and keyed requests that may have run are remembered however they ended; those of harmless ones as before.

--- a/tealsail/choices/recent_ids.py
+++ b/tealsail/choices/recent_ids.py
@@ -1,4 +1,4 @@
-"""Ids of requests that may have run for clients that left, so that none runs again when its id comes again.
+"""Ids of requests that may have run, so that none runs again when its id comes again.
 
 Each class of requests keeps its latest ones, so that a flood of one class pushes out none of another.
 """
@@ -10,6 +10,15 @@
 MIN_RECENT_IDS = 256  # of a class
 
 
+def must_be_remembered(effect: str, may_have_run: bool, has_client_left: bool) -> bool:
+    """Whether the id of a request that is over may not be taken again.
+
+    `effect` is its class's, as the settings name it (tealsail/settings.py).  What does no harm if it runs again counts
+    only where its client has left.
+    """
+    return may_have_run and (has_client_left or effect != "harmless")
+
+
 class RecentIds:
     """The latest ids of each class of requests, as 64-bit hashes."""
 
--- a/tealsail/facade.py
+++ b/tealsail/facade.py
@@ -202,6 +202,10 @@
         """The customer's index; customers that the settings do not name share one, which is no other's."""
         return self.customers.get(customer, self.customers.get(UNLISTED_CUSTOMER, 0))
 
+    def effect(self, workload: str) -> str:
+        """What a repeat of a request of that workload does: harmless, stamped or one-shot."""
+        return self.relay.workloads[self.workloads[workload]].effect
+
     def report(self, event: Event) -> Step:
         """Takes an event; returns the next step of the invocation that an outcome is about."""
         relay = self.relay
--- a/tealsail/lab/soak/relay_process.py
+++ b/tealsail/lab/soak/relay_process.py
@@ -141,6 +141,7 @@
         self.settings: dict[str, Any] = SETTINGS
         self.life: Life | None = None  # of the process that runs, or ran last
         self.peak_mb = 0.0  # of all its processes
+        self.started_at: list[float] = []  # its processes, in seconds of the monotonic clock
         self.findings: list[str] = []
         self.meter: asyncio.Task | None = None
 
@@ -169,6 +170,7 @@
             )
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (self.limits.sockets, self.limits.sockets))
         self.life = Life(process)
+        self.started_at.append(time.monotonic())
         self.meter = asyncio.ensure_future(self.measure(self.life))
         await self.wait_ready()
 
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -22,7 +22,7 @@
     share_out,
 )
 from ..choices.rate_limits import RateLimiter, count_message_limits
-from ..choices.recent_ids import RecentIds
+from ..choices.recent_ids import RecentIds, must_be_remembered
 from ..facade import (
     ClientLeft,
     Facade,
@@ -187,7 +187,8 @@
         if self.is_over and not self.shots and self.relay.serving.pop(self.number, None):
             self.relay.requests.remove(self.cost)
             self.relay.open_ids.discard(self.statement.id)
-            if self.may_have_run and self.has_client_left:
+            effect = self.relay.facade.effect(self.statement.workload)
+            if must_be_remembered(effect, self.may_have_run, self.has_client_left):
                 self.relay.recent_ids.add(self.statement.id, self.statement.workload)
 
 
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -5,7 +5,7 @@
 from hypothesis import given, strategies as st
 
 from tealsail.choices.connection_lifetimes import answer_deadline
-from tealsail.choices.recent_ids import RecentIds
+from tealsail.choices.recent_ids import RecentIds, must_be_remembered
 from tealsail.choices.spill import SpillFactor, ZoneView, split
 from tealsail.choices.tiers import Tier, Zoning, tiers
 from tealsail.choices.zone_recovery import OUT, RAMP, UP, WAITING, ZoneRecovery
@@ -344,3 +344,11 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+    # Guards against a one-shot request that runs twice because its client left as it was answered.
+    def test_what_may_not_run_twice_is_remembered_however_it_ended(self) -> None:
+        for effect in ("one-shot", "stamped"):
+            self.assertTrue(must_be_remembered(effect, may_have_run=True, has_client_left=False))
+        self.assertFalse(must_be_remembered("harmless", may_have_run=True, has_client_left=False))
+        self.assertTrue(must_be_remembered("harmless", may_have_run=True, has_client_left=True))
+        self.assertFalse(must_be_remembered("one-shot", may_have_run=False, has_client_left=True))
