Let stalled half messages make room before connections that are about to ask

Cause: clients that have sent part of a message were the last to make room, so new connections closed each other. Change: a message that is incomplete for half a second makes room first, then connections that have rested for 0.3 s. The test failed before. The soak counts an unanswered request as crossed only within 50 ms, on kept connections too (it allowed any time there), and names when it was sent.

--- a/tealsail/lab/soak/plan.py
+++ b/tealsail/lab/soak/plan.py
@@ -44,6 +44,7 @@
     limits: Limits
     relays: int = 1
     units: int = 14
+    hung_units: int = 0  # of them, that take requests and never answer
     unit_latency_s: float = 0.02
     value_bytes: int = 40
     usual_clients: int = 8
@@ -94,6 +95,7 @@
         unit_latency_s=chance.choice((0.005, 0.05, 0.3, 1.0)),
         value_bytes=chance.choice((40, 40, 4000, 65_536)),
         usual_clients=chance.choice((4, 12, 24)),
+        hung_units=chance.choice((0, 0, 1, 2)),
         crowds=tuple(crowds),
         signals=tuple(signals),
     )
--- a/tealsail/lab/soak/run.py
+++ b/tealsail/lab/soak/run.py
@@ -70,6 +70,8 @@
         self.units = [
             Unit(f"s-{number}", self.attempts, plan.unit_latency_s, plan.value_bytes) for number in range(plan.units)
         ]
+        for unit in self.units[: plan.hung_units]:
+            unit.is_hung = True
         self.discovery, self.platform = Discovery(self.units), Platform()
         self.relays = [
             RelayProcess(index, folder, plan.limits, self.discovery, self.platform) for index in range(plan.relays)
--- a/tealsail/lab/soak/usual_clients.py
+++ b/tealsail/lab/soak/usual_clients.py
@@ -13,6 +13,7 @@
 MAX_PAUSE_S = 0.1  # between two requests of a client
 CONNECT_TIMEOUT_S = 2.0
 REQUEST_CLASSES = {each["name"]: each["deadline"] / 1000 for each in SETTINGS["requestClasses"]}  # deadlines in seconds
+CROSSING_S = 0.05  # in which a request crosses the end of a connection that rests; it goes over a new one then
 STOP_GRACE_S = 0.7  # after SIGTERM; what comes later is lost if the kill finds it unanswered
 
 
@@ -33,7 +34,7 @@
         self.random = random.Random(seed)
         self.answers: list[Answered] = []
         self.findings: list[str] = []
-        self.crossed: list[str] = []  # requests whose kept connection ended without an answer
+        self.crossed: list[str] = []  # requests that crossed the end of their connection
         self.sent = 0
         self.is_over = False
         self.accepts_new = True  # False while the front brings no new connections to the relay
@@ -91,19 +92,21 @@
         except TimeoutError:
             reply = Reply("late")
         self.answers.append(Answered(reply.outcome, at, time.monotonic() - at))
-        self.check(identifier, reply, at, life, is_new)
+        self.check(identifier, reply, at, life)
         return reply.outcome in ("served", "refused", "failed") and not reader.at_eof()
 
-    def check(self, identifier: str, reply: Reply, at: float, life: Life, is_new: bool) -> None:
+    def check(self, identifier: str, reply: Reply, at: float, life: Life) -> None:
         """Note what breaks a rule."""
         if reply.outcome == "served" and reply.value != value_of(identifier, self.value_bytes):
             self.findings.append(f"{identifier} was served {reply.value[:60]!r}, which no unit made for it")
         if reply.outcome not in ("closed", "late") or may_be_unanswered(life, at):
             return
-        if reply.outcome == "closed" and not is_new:
+        seconds = time.monotonic() - at
+        if reply.outcome == "closed" and seconds < CROSSING_S:
             self.crossed.append(identifier)  # lost only if the relay had read it
             return
-        self.findings.append(f"{identifier} on a {'new' if is_new else 'kept'} connection is lost: {reply.outcome}")
+        stopped = f", {at - life.stopped_at:.2f} s after SIGTERM" if life.stopped_at else ""
+        self.findings.append(f"{identifier} is lost: {reply.outcome} after {seconds:.3f} s, sent at {at:.3f}{stopped}")
 
 
 def may_be_unanswered(life: Life, at: float) -> bool:
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -637,18 +637,26 @@
         return evicted is not None
 
     def eviction_candidates(self, new: ClientConnection) -> list[ClientConnection]:
-        """A few idle connections, the ones to be closed first in front: those that have sent only part of a message
-        come last, those that should have sent their first query by now come first, and then those idle longest."""
+        """A few idle connections, in the order in which they make room for a new one.
+
+        Those come first that should have sent their first query by now, or the rest of a message; then those that have
+        rested for a while; last those that may be about to send, or are sending.
+        """
         now = self.clock()
-        late, others, partial = [], [], []
+        late, rested, others, sending = [], [], [], []
         for each in self.connections:  # in the order in which they became idle
             if each is new or not each.is_idle():
                 continue
-            is_late = not each.has_queried and now - each.idle_since >= FIRST_QUERY_TIMEOUT
-            (partial if each.partial_since else late if is_late else others).append(each)
+            idle = now - each.idle_since
+            if each.partial_since:
+                (late if may_displace(now - each.partial_since) else sending).append(each)
+            elif not each.has_queried and idle >= FIRST_QUERY_TIMEOUT:
+                late.append(each)
+            else:
+                (rested if each.has_queried and idle > IDLE_GRACE else others).append(each)
             if len(late) >= MAX_EVICTION_CANDIDATES:
                 break
-        return (late + others + partial)[:MAX_EVICTION_CANDIDATES]
+        return (late + rested + others + sending)[:MAX_EVICTION_CANDIDATES]
 
     def became_idle(self, client: ClientConnection) -> None:
         """Keep `connections` in the order in which they became idle."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -273,6 +273,17 @@
         self.assertTrue(late.settle())
         self.assertEqual(self.end_codes(), ["full", "no_room"])
 
+    # Guards against a crowd that stops half way and keeps its places, while those about to ask lose theirs.
+    def test_a_client_that_stops_half_way_makes_room_before_one_that_is_about_to_ask(self) -> None:
+        self.clients.max_connections = 2
+        stalled = self.client()
+        stalled.feed(client_query()[:9])
+        self.wait(0.5)
+        about_to_ask = self.client()
+        stalled.feed(client_query()[9:12])
+        self.client()
+        self.assertEqual((stalled.settle(), about_to_ask.settle()), (True, False))
+
     def test_no_query_is_begun_while_the_client_does_not_read(self) -> None:
         transport = self.client()
         transport.producer.pauseProducing()
