Let connections begin their queries in turns of 10 ms

Cause: a turn of the event loop began all that it had read, up to 32 queries of each of 480 connections, 0.15 ms each: over two seconds.

Change: queries are begun for 10 ms of a turn; connections with more wait in line, each begins one before the next does, and is not read meanwhile, so that the kernel holds back those that send more than their part. The test failed before (all of the first connection's queries came first).

--- a/tealsail/choices/pipelining.py
+++ b/tealsail/choices/pipelining.py
@@ -5,6 +5,7 @@
 
 MAX_AT_ONCE = 32  # requests of one connection in progress, or answered behind an earlier one; few clients send so many
 MAX_ANSWER_BYTES = 64 * 1024  # of one connection's answers that wait for an earlier one; one value may be as long
+TURN_TIME = 100  # tenths of a ms of a turn of the event loop in which queries are begun
 MAX_ANSWER_BYTES_IN_ALL = 2 * 1024 * 1024  # of all connections together, in a process of 32 MB
 
 
@@ -18,3 +19,8 @@
         return True
     has_room = answer_bytes < MAX_ANSWER_BYTES and answer_bytes_in_all < MAX_ANSWER_BYTES_IN_ALL
     return has_room and at_once < MAX_AT_ONCE
+
+
+def is_time_left(used: int) -> bool:
+    """Whether a turn of the event loop that has taken so long (tenths of a ms) may begin another query."""
+    return used < TURN_TIME
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -26,7 +26,7 @@
     request_cost,
     share_out,
 )
-from ..choices.pipelining import may_begin
+from ..choices.pipelining import is_time_left, may_begin
 from . import messages, statements
 from .connections import cancel
 from .counters import Counters
@@ -144,6 +144,8 @@
         "ignores_input",
         "read_paused",
         "paused_check_timer",
+        "holds_much",
+        "is_deferred",
         "held_bytes",
         "idle_since",
         "other_messages",
@@ -168,8 +170,10 @@
         self.came_during_shutdown = clients.closing
         self.is_half_closed, self.half_close_timer = False, None  # whether our half has ended; the wait for the other
         # Respectively: after a refused extended message; during `process_queue`; while the transport's buffer is full;
-        # once an Ending is queued; while more than MAX_HELD_BYTES are held.
+        # once an Ending is queued; while it is not read.
         self.skips_to_sync = self.is_processing = self.write_paused = self.ignores_input = self.read_paused = False
+        # Since more than MAX_HELD_BYTES were held; while queries wait for their turn among other connections'.
+        self.holds_much = self.is_deferred = False
         self.paused_check_timer: Any = None  # of the next check while `read_paused`
         self.held_bytes = 0  # of the queue, and of the queries in `pending` behind the first
         self.idle_since = clients.clock()
@@ -332,10 +336,20 @@
             self.ignores_input = True
             self.transport.bufferSize = LARGE_READ_BYTES
         self.held_bytes += entry_bytes(entry)
-        if self.held_bytes > MAX_HELD_BYTES and not self.read_paused:
+        self.holds_much |= self.held_bytes > MAX_HELD_BYTES
+        self.pause_or_resume()
+
+    def pause_or_resume(self) -> None:
+        """Read from the connection, unless it holds much or has queries that wait for their turn."""
+        is_paused = self.holds_much or self.is_deferred
+        if is_paused and not self.read_paused:
             self.read_paused = True
             self.transport.pauseProducing()
             self.paused_check_timer = self.clients.reactor.callLater(PAUSED_CHECK_S, self.check_paused)
+        elif self.read_paused and not is_paused:
+            self.read_paused = False
+            cancel(self.paused_check_timer)
+            self.transport.resumeProducing()
 
     def check_paused(self) -> None:
         """End the connection if its client has closed it, which reading would show; repeats itself while paused."""
@@ -347,11 +361,16 @@
         self.paused_check_timer = self.clients.reactor.callLater(PAUSED_CHECK_S, self.check_paused)
 
     def process_queue(self) -> None:
-        """Begin the queue's entries in order, as long as more may be under way and the client reads its answers."""
+        """Begin the queue's entries in order, as long as more may be under way and the client reads its answers.
+
+        Once the turn of the event loop has taken its time, further queries wait for the next.
+        """
         if self.is_processing:
             return
         self.is_processing = True
-        while self.queue and not self.code and not self.write_paused and self.may_begin_first():
+        while self.has_entry_to_begin():
+            if isinstance(self.queue[0], ReceivedQuery) and not self.clients.turns.may_work(self):
+                break
             first = self.queue.pop(0)
             if isinstance(first, Ending):
                 self.end(first.code, first.last_message, first.detail)
@@ -361,6 +380,15 @@
         if self.clients.closing:
             self.end_if_idle()
 
+    def has_entry_to_begin(self) -> bool:
+        """Whether the queue's first entry may be begun now."""
+        return bool(self.queue) and not self.code and not self.write_paused and self.may_begin_first()
+
+    def set_deferred(self, is_deferred: bool) -> None:
+        """Queries wait for their turn from now on, or no longer: nothing more is read meanwhile."""
+        self.is_deferred = is_deferred
+        self.pause_or_resume()
+
     def may_begin_first(self) -> bool:
         """Whether the queue's first entry may be begun; an end waits until the last answer is written."""
         if isinstance(self.queue[0], Ending):
@@ -382,10 +410,8 @@
         """Its query is the first now, which does not count as held."""
         self.held_bytes -= pending.held_bytes
         pending.held_bytes = 0
-        if self.read_paused and self.held_bytes < MAX_HELD_BYTES // 2:
-            self.read_paused = False
-            cancel(self.paused_check_timer)
-            self.transport.resumeProducing()
+        self.holds_much &= self.held_bytes >= MAX_HELD_BYTES // 2
+        self.pause_or_resume()
 
     def end_if_idle(self) -> None:
         """While the relay shuts down: end the connection if it is idle and no query waits in the kernel, since that
@@ -526,6 +552,7 @@
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
         self.clients.remove(self)
+        self.clients.turns.forget(self)
         self.clients.half_closed -= self.is_half_closed
         cancel(self.half_close_timer)
         cancel(self.paused_check_timer)
@@ -550,6 +577,55 @@
     return f"{getattr(address, 'host', '?')}:{getattr(address, 'port', 0)}"
 
 
+class Turns:
+    """Shares the event loop among connections with queries.
+
+    A turn of the loop begins queries for `TURN_TIME` at most.  Connections with more to begin, or that come later, wait
+    in line for the next turns, in which each begins one query before the next in line does.
+    """
+
+    def __init__(self, reactor: Any, clock: Callable[[], int]) -> None:
+        self.reactor, self.clock = reactor, clock
+        self.line: dict[ClientConnection, None] = {}
+        self.turn_began: int | None = None  # None: nothing has been begun since the loop's last turn
+        self.is_working: ClientConnection | None = None  # the one at the head of the line, whose query is begun now
+
+    def may_work(self, client: ClientConnection) -> bool:
+        """Whether the connection may begin a query now; otherwise it is put in line."""
+        if self.is_working is client:
+            self.is_working = None  # for this query alone
+            return True
+        if self.turn_began is None:
+            self.begin_turn()
+        if self.line or not is_time_left(self.clock() - self.turn_began):
+            self.line.setdefault(client)
+            client.set_deferred(True)
+            return False
+        return True
+
+    def begin_turn(self) -> None:
+        self.turn_began = self.clock()
+        self.reactor.callLater(0, self.next_turn)
+
+    def next_turn(self) -> None:
+        """The loop has had a turn: go on with the line."""
+        self.turn_began = None
+        if self.line:
+            self.begin_turn()
+        while self.line and is_time_left(self.clock() - self.turn_began):
+            client = next(iter(self.line))
+            del self.line[client]
+            self.is_working = client
+            client.process_queue()
+            self.is_working = None
+            if client not in self.line:
+                client.set_deferred(False)
+
+    def forget(self, client: ClientConnection) -> None:
+        """The connection has ended."""
+        self.line.pop(client, None)
+
+
 class Clients(Factory):
     """The connections of all clients.
 
@@ -575,6 +651,7 @@
         shares = share_out(DEFAULT_MEMORY, USED_AT_REST)
         self.requests = requests or ByteBudget(shares.requests)
         self.answers = answers or ByteBudget(shares.answers)
+        self.turns = Turns(reactor, clock)
         self.large_share = LARGE_SHARE  # of what requests may take, for large ones
         self.connections: OrderedDict[ClientConnection, None] = OrderedDict()
         self.incomplete: dict[ClientConnection, None] = {}  # those with a large incomplete message, the oldest first
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,7 @@
 
 from tealsail.choices.memory_budget import LARGE_SHARE, ByteBudget, request_cost
 from tealsail.choices.pipelining import MAX_ANSWER_BYTES, MAX_ANSWER_BYTES_IN_ALL, MAX_AT_ONCE, may_begin
-from tealsail.net import clients, messages
+from tealsail.net import clients, messages, statements
 from tealsail.net.counters import Counters
 
 from .fake import READY, STARTUP, STARTUP_RESPONSE, MemoryTransport, Reactor, client_query, message
@@ -284,6 +284,25 @@
         self.client()
         self.assertEqual((stalled.settle(), about_to_ask.settle()), (True, False))
 
+    # Guards against hundreds of connections whose queries hold the loop for seconds, while one query waits.
+    def test_connections_begin_their_queries_in_turns_once_the_loop_has_taken_its_time(self) -> None:
+        def take(statement: statements.Statement, at: int) -> Deferred:
+            self.reactor.rightNow += 0.006
+            begun.append(statement.customer)
+            return Deferred(lambda _: None)
+
+        begun: list[str] = []
+        self.clients.take = take
+        many, one = self.client(), self.client()
+        many.feed(client_query() * 10)
+        one.feed(client_query().replace(b"t=acme", b"t=ines"))
+        self.assertEqual((begun, many.producerState), (["acme"] * 2, "paused"))
+        self.reactor.advance(0)
+        self.assertEqual(begun, ["acme"] * 3 + ["ines"])
+        for _ in range(9):
+            self.reactor.advance(0)
+        self.assertEqual((begun, many.producerState), (["acme"] * 3 + ["ines"] + ["acme"] * 7, "producing"))
+
     def test_no_query_is_begun_while_the_client_does_not_read(self) -> None:
         transport = self.client()
         transport.producer.pauseProducing()
