Mend the test of turns: the test's reactor runs several turns at once

It checks the whole order now. On the code without turns it fails: the first connection's ten queries come first.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -297,8 +297,6 @@
         many.feed(client_query() * 10)
         one.feed(client_query().replace(b"t=acme", b"t=ines"))
         self.assertEqual((begun, many.producerState), (["acme"] * 2, "paused"))
-        self.reactor.advance(0)
-        self.assertEqual(begun, ["acme"] * 3 + ["ines"])
         for _ in range(9):
             self.reactor.advance(0)
         self.assertEqual((begun, many.producerState), (["acme"] * 3 + ["ines"] + ["acme"] * 7, "producing"))
