Accept no connection without room for it, so that none is closed for want of descriptors

Cause: connections beyond max_connections were accepted to be told that there is no room, as many as came. When the drain took in the whole backlog at once, the process ran out of descriptors, and Twisted then accepts and closes.

Change: up to 16 connections beyond the limit are accepted, the others wait in the kernel until one has ended.

--- a/tealsail/lab/soak/relay_process.py
+++ b/tealsail/lab/soak/relay_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import resource
 import signal
 import socket
@@ -19,6 +20,7 @@
 READY_TIMEOUT_S = 30.0
 READY_CHECK_S = 0.05
 SAMPLE_INTERVAL_S = 0.02
+PORTS = 10_000, 30_000  # that relays listen on
 MAX_LOG_TAIL = 4000  # bytes of a log that a finding quotes
 
 SETTINGS: dict[str, Any] = {
@@ -96,15 +98,16 @@
 
 
 def free_port() -> int:
-    """A port that is free for TCP and UDP at the time of the call."""
+    """A port below those that connections get by themselves, free for TCP and UDP at the time of the call."""
     while True:
+        address = LOOPBACK, random.randrange(*PORTS)
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((LOOPBACK, 0))
             try:
-                udp.bind(tcp.getsockname())
+                tcp.bind(address)
+                udp.bind(address)
             except OSError:
                 continue
-            return tcp.getsockname()[1]
+            return address[1]
 
 
 class Life:
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -41,6 +41,7 @@
 MAX_OTHER_MESSAGES = 64  # of one connection that are no queries, up to its next query
 MAX_QUEUED_QUERIES = 32  # of one connection; a well-behaved client does not send so many at once
 SWEEP_INTERVAL_S = 0.1
+SPARE_CONNECTIONS = 16  # beyond `max_connections`, which are told that there is no room
 MAX_EVICTION_CANDIDATES = 8  # idle connections examined to find one that can make room
 MUTE_TIMEOUT = 20_000  # within which something complete must come
 FIRST_QUERY_TIMEOUT = 5_000  # a connection without a query for longer is the first to make room
@@ -652,6 +653,7 @@
         self.requests = requests or ByteBudget(shares.requests)
         self.answers = answers or ByteBudget(shares.answers)
         self.turns = Turns(reactor, clock)
+        self.on_room: Callable[[], None] = lambda: None  # called when a connection has ended
         self.large_share = LARGE_SHARE  # of what requests may take, for large ones
         self.connections: OrderedDict[ClientConnection, None] = OrderedDict()
         self.incomplete: dict[ClientConnection, None] = {}  # those with a large incomplete message, the oldest first
@@ -742,6 +744,11 @@
 
     def remove(self, client: ClientConnection) -> None:
         self.connections.pop(client, None)
+        self.on_room()
+
+    def room(self) -> int:
+        """How many connections may be accepted; the others wait in the kernel."""
+        return max(0, self.max_connections + SPARE_CONNECTIONS - len(self.connections))
 
     def reserve(self, client: ClientConnection, cost: int) -> bool:
         """Count a large message that has begun, if there is room; one that is incomplete for long makes room."""
--- a/tealsail/net/kernel.py
+++ b/tealsail/net/kernel.py
@@ -43,25 +43,31 @@
 def set_accepting_paused(port: Any, paused: bool) -> None:
     """Leave new connections in the kernel's backlog, or accept them again.
 
-    The backlog has room for as many as the port was opened with.
+    The backlog has room for as many as the port was opened with.  A port that no longer listens is left alone.
     """
+    if not getattr(port, "connected", True):
+        return
     switch = getattr(port, "stopReading" if paused else "startReading", None)
     if switch:
         switch()
 
 
-def limit_accepts(port: Any, most: int) -> None:
-    """Let a listening port accept at most so many connections in one turn of the event loop.
+def limit_accepts(port: Any, most: int, room: Callable[[], int]) -> None:
+    """Let a listening port accept at most so many connections in one turn of the event loop, and none without room.
 
-    By itself it accepts ever more of them while there are more, and everything else waits.
+    By itself it accepts ever more of them while there are more, and everything else waits; and where the process has no
+    descriptor left, it closes what it accepts.  Without room it is paused (`set_accepting_paused` resumes it).
     """
     accept = getattr(port, "doRead", None)
     if accept is None:
         return
 
     def accept_some() -> None:
-        port.numberAccepts = most
-        accept()
+        port.numberAccepts = min(most, room())
+        if port.numberAccepts > 0:
+            accept()
+        else:
+            set_accepting_paused(port, True)
 
     port.doRead = accept_some
 
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -302,7 +302,8 @@
             self.peer_listener = self.reactor.listenUDP(port, self.peers, host, maxPacketSize=2048)
         host, port = parse_address(self.configuration.listen)
         self.client_listener = self.reactor.listenTCP(port, self.clients, CLIENT_BACKLOG, host)
-        limit_accepts(self.client_listener, MAX_ACCEPTS)
+        limit_accepts(self.client_listener, MAX_ACCEPTS, self.clients.room)
+        self.clients.on_room = self.resume_accepting
         self.start_discovery()
         if self.configuration.platform:
             self.platform.start()
@@ -345,6 +346,11 @@
             self.hold_timer = None
             set_accepting_paused(self.client_listener, False)
 
+    def resume_accepting(self) -> None:
+        """There is room for a client; but clients may be held for the list."""
+        if not self.hold_timer:
+            set_accepting_paused(self.client_listener, False)
+
     def check_clocks(self) -> None:
         """Count and log a step of the wall clock, which moves no timer; call again after CLOCK_CHECK_S."""
         step = self.clock.measure_step()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from twisted.python import log
 
 from tealsail.choices.backoff import FIRST_LIST_WAIT_S
-from tealsail.net.clients import MAX_HALF_CLOSED
+from tealsail.net.clients import MAX_HALF_CLOSED, SPARE_CONNECTIONS
 from tealsail.net.shutdown import STOP_GRACE_S
 
 from .crossing import EMPTY, NOTHING, REAL_TIME_LIMIT_S, Crossing, free_port, long_one_shot_query, row
@@ -159,6 +159,26 @@
         self.run_once()
         self.assertEqual(problems, [])
 
+    # Guards against a process without descriptors, which closes the connections that it accepts with no answer.
+    def test_connections_without_room_wait_in_the_kernel_and_are_answered(self) -> None:
+        clients = self.start_relay().clients
+        clients.max_connections = 2
+        silent = [self.connect(answered=False) for _ in range(SPARE_CONNECTIONS + 10)]
+        for _ in range(20):
+            self.run_once()
+            self.assertLessEqual(len(clients.connections), clients.max_connections + SPARE_CONNECTIONS)
+        for client in silent:
+            self.assertTrue(self.receive_all_or_answer(client))
+
+    def receive_all_or_answer(self, client: socket.socket) -> bytes:
+        """What the client is sent, up to its answer or the close."""
+        try:
+            return self.receive_until(client, NOTHING)
+        except ConnectionResetError:
+            return b""
+        finally:
+            client.close()
+
 
 class AtTheUnits(Crossing):
     """What crosses on connections to units."""
