Split the connections of clients into answers, one connection, turns, and all connections

One job each now: answers.py, client_connection.py, turns.py, clients.py; what a connection uses of its owner is described by a protocol, so that no import cycle comes back (test_recording found one on the way). The default of a process's memory stands once.

--- a/tealsail/choices/memory_budget.py
+++ b/tealsail/choices/memory_budget.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 BYTES_PER_MB = 1 << 20
+DEFAULT_MEMORY = 192 * BYTES_PER_MB  # that a process may use, where the configuration does not say
 USED_AT_REST = 30 * BYTES_PER_MB  # of a process, where nobody reads what it uses
 MIN_ROOM = 4 * BYTES_PER_MB  # that is shared out even where less is left
 REQUEST_SHARE = 1 / 3  # of the room
--- a/tealsail/net/recording.py
+++ b/tealsail/net/recording.py
@@ -17,7 +17,7 @@
     StageReceived,
 )
 from ..record.recorder import Recorder
-from .clients import Answer, Forfeited, Rejected
+from .answers import Answer, Forfeited, Rejected
 from .discovery import Entry, unit_number
 
 if TYPE_CHECKING:
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -39,7 +39,8 @@
 )
 from ..parts import RandomGenerator, stable_hash
 from ..policy import JUDGES, OUTCOMES_NOT_RUN
-from .clients import Answer, Clients, Forfeited, Rejected
+from .answers import Answer, Forfeited, Rejected
+from .clients import Clients
 from .connections import cancel
 from .counters import Counters
 from .discovery import Discovery, Entry, ListUpdate, unit_number
--- a/tealsail/net/relay_configuration.py
+++ b/tealsail/net/relay_configuration.py
@@ -5,12 +5,13 @@
 from typing import Any, NamedTuple
 
 from .. import settings
+from ..choices.memory_budget import BYTES_PER_MB, DEFAULT_MEMORY
 from ..setup.validation import InvalidSettings, check_settings
 from .discovery import ListUpdate, Unreadable, checked_address, read_list
 from .platform import PlatformState, Unreadable as UnreadableState, read_state
 
 DEFAULT_SOCKETS = 1024  # file descriptors
-DEFAULT_MEMORY_MB = 192
+DEFAULT_MEMORY_MB = DEFAULT_MEMORY // BYTES_PER_MB
 
 
 class ConfigurationError(Exception):
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -13,7 +13,7 @@
 from twisted.python.failure import Failure
 
 from ..choices.connection_lifetimes import choose_idle_connection, idle_limits
-from ..choices.memory_budget import SMALL_MESSAGE, USED_AT_REST, ByteBudget, answer_cost, share_out
+from ..choices.memory_budget import DEFAULT_MEMORY, SMALL_MESSAGE, USED_AT_REST, ByteBudget, answer_cost, share_out
 from . import messages
 from .connections import OutgoingConnection, connect
 from .counters import Counters
@@ -25,7 +25,6 @@
 READ_BYTES = 4096  # of one connection in one turn of the event loop
 LARGE_READ_BYTES = 64 * 1024  # the same in the middle of a large message
 MAX_UNASKED_MESSAGES = 64  # of one connection outside an answer, since the last answer
-DEFAULT_MEMORY = 192 * 1024 * 1024  # bytes that a process may use, where the configuration does not say
 LOAD_LIMIT = 1e6  # every figure of a load report is below it
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,7 +7,7 @@
 
 from tealsail.choices.memory_budget import LARGE_SHARE, ByteBudget, request_cost
 from tealsail.choices.pipelining import MAX_ANSWER_BYTES, MAX_ANSWER_BYTES_IN_ALL, MAX_AT_ONCE, may_begin
-from tealsail.net import clients, messages, statements
+from tealsail.net import answers, clients, messages, statements
 from tealsail.net.counters import Counters
 
 from .fake import READY, STARTUP, STARTUP_RESPONSE, MemoryTransport, Reactor, client_query, message
@@ -144,7 +144,7 @@
         transport.feed(STARTUP + client_query() + EMPTY + message(b"Q", b"SET x = 1\0") + client_query())
         transport.sent()
         self.assertEqual(len(self.taken), 2)
-        self.taken[1].callback(clients.Rejected(25))
+        self.taken[1].callback(answers.Rejected(25))
         self.assertEqual(transport.sent(), b"")
         self.taken[0].callback(VALUE)
         first = messages.value_response(VALUE) + message(b"I", b"") + READY + message(b"C", b"SET\0") + READY
@@ -152,7 +152,7 @@
         self.assertIn(b"C53300\0", transport.value()[len(first) :])
         self.assertIn(b"D3\0", transport.sent())
         transport.feed(client_query())
-        self.taken[2].callback(clients.Forfeited())
+        self.taken[2].callback(answers.Forfeited())
         self.assertNotIn(b"C53300\0", transport.value())
         self.assertNotIn(b"C57P03\0", transport.sent())
 
@@ -163,13 +163,13 @@
         self.wait(1)
         transport.feed(client_query() * 2)
         self.assertEqual(self.received_at, [self.received_at[0]] + [self.received_at[0] + 10_000] * 2)
-        self.taken[2].callback(clients.Forfeited())
+        self.taken[2].callback(answers.Forfeited())
         self.taken[1].callback(VALUE)
         self.assertEqual((transport.sent(), self.clients.answer_bytes > 0), (b"", True))
-        self.taken[0].callback(clients.Rejected(0))
+        self.taken[0].callback(answers.Rejected(0))
         self.assertEqual(
             transport.sent(),
-            b"".join(clients.encode_answer(each) for each in (clients.Rejected(0), VALUE, clients.Forfeited())),
+            b"".join(answers.encode_answer(each) for each in (answers.Rejected(0), VALUE, answers.Forfeited())),
         )
         self.assertEqual(
             (self.clients.answer_bytes, transport.protocol.held_bytes, transport.protocol.is_idle()), (0, 0, True)
@@ -366,7 +366,7 @@
         self.assertLess(len(third.protocol.splitter.held), 5000)
         for deferred in self.taken:
             deferred.callback(VALUE)
-        refused = clients.encode_answer(clients.Rejected(0))
+        refused = answers.encode_answer(answers.Rejected(0))
         self.assertEqual(third.sent(), messages.value_response(VALUE) + refused + messages.value_response(VALUE))
         half[0].feed(self.large_query()[50_000:])
         self.assertEqual(len(self.taken), 3)
@@ -388,7 +388,7 @@
         self.client().feed(self.large_query(), piece=5000)
         self.assertEqual((len(self.taken), len(stalled.protocol.splitter.held)), (1, 0))
         stalled.feed(self.large_query()[50_000:])
-        self.assertEqual(stalled.sent(), clients.encode_answer(clients.Rejected(0)))
+        self.assertEqual(stalled.sent(), answers.encode_answer(answers.Rejected(0)))
 
     # Guards against room that is never given back, whatever ends a request.
     def test_all_room_is_given_back(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,8 @@
 from twisted.python import log
 
 from tealsail.choices.backoff import FIRST_LIST_WAIT_S
-from tealsail.net.clients import MAX_HALF_CLOSED, SPARE_CONNECTIONS
+from tealsail.net.client_connection import MAX_HALF_CLOSED
+from tealsail.net.clients import SPARE_CONNECTIONS
 from tealsail.net.shutdown import STOP_GRACE_S
 
 from .crossing import EMPTY, NOTHING, REAL_TIME_LIMIT_S, Crossing, free_port, long_one_shot_query, row
--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -150,7 +150,7 @@
         wire = self.unit()
         wire.sent()
         wire.feed(error_response("XX000") + READY)
-        client.feed(client_query())
+        client.feed(client_query(number="9b20"))
         client.drop()
         relay.record.close()
         self.assertEqual([line.answer for line in self.lines(InvocationEnded)], ["forfeited", "left"])
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from tealsail.net.clients import FORFEITED_CODE, REJECTED_CODE
+from tealsail.net.answers import FORFEITED_CODE, REJECTED_CODE
 from tealsail.net.shutdown import DRAIN_CHECK_S, STOP_GRACE_S
 
 from .crossing import EMPTY, NOTHING, Crossing, row
