Tell connections without room so within a moment, however silent they are

Change: 40 of them, refused after 0.1 s without a startup message, and held for another 0.1 s. The new test fails without the change (the connection stays silent for 2 s).

--- a/tealsail/net/client_connection.py
+++ b/tealsail/net/client_connection.py
@@ -41,6 +41,7 @@
 MAX_QUEUED_QUERIES = 32  # of one connection; a well-behaved client does not send so many at once
 MUTE_TIMEOUT = 20_000  # within which something complete must come
 HALF_CLOSE_TIMEOUT_S = 0.5  # for the other side's end, after ours
+REFUSED_TIMEOUT_S = 0.1  # the same for a connection that there was no room for
 MAX_HALF_CLOSED = 32  # connections that wait for the other side's end; more are closed at once
 
 
@@ -268,13 +269,15 @@
             case messages.CancelRequest():
                 self.enqueue(Ending("cancel"))  # all connections have the same key, so it does not say what to cancel
             case messages.Startup() if not self.is_admitted:
-                self.enqueue(
-                    Ending("full", messages.error_response(CONNECTION_LIMIT_CODE, "too many connections", fatal=True))
-                )
+                self.refuse()
             case messages.Startup():
                 self.splitter.typed = True
                 self.enqueue(messages.STARTUP_RESPONSE)
 
+    def refuse(self) -> None:
+        """There is no room for this connection: say so and end it."""
+        self.enqueue(Ending("full", messages.error_response(CONNECTION_LIMIT_CODE, "too many connections", fatal=True)))
+
     def on_message(
         self, message: messages.Query | messages.ExtendedMessage | messages.CopyMessage | messages.Terminate
     ) -> None:
@@ -528,7 +531,8 @@
 
     def writeConnectionLost(self) -> None:
         """All is written and our half has ended."""
-        self.half_close_timer = self.clients.reactor.callLater(HALF_CLOSE_TIMEOUT_S, self.abort)
+        timeout = HALF_CLOSE_TIMEOUT_S if self.is_admitted else REFUSED_TIMEOUT_S
+        self.half_close_timer = self.clients.reactor.callLater(timeout, self.abort)
 
     def readConnectionLost(self) -> None:
         """The other half has ended: a client that does so expects no more answers."""
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -29,7 +29,8 @@
 from .turns import Turns
 
 SWEEP_INTERVAL_S = 0.1
-SPARE_CONNECTIONS = 16  # beyond `max_connections`, which are told that there is no room
+SPARE_CONNECTIONS = 40  # beyond `max_connections`, which are told that there is no room
+STARTUP_TIME = 1_000  # for the startup message of a connection that there is no room for
 MAX_EVICTION_CANDIDATES = 8  # idle connections examined to find one that can make room
 FIRST_QUERY_TIMEOUT = 5_000  # a connection without a query for longer is the first to make room
 CROWDED_SHARE = 0.25  # of `max_connections`: above it, connections idle for longer than IDLE_GRACE are ended
@@ -78,7 +79,10 @@
         """
         now, is_crowded = self.clock(), len(self.connections) > self.max_connections * CROWDED_SHARE
         for client in list(self.connections):
-            if client.is_mute(now) and client.can_be_closed():
+            if not client.is_admitted and client.is_idle() and now - client.idle_since >= STARTUP_TIME:
+                client.refuse()
+                client.process_queue()
+            elif client.is_mute(now) and client.can_be_closed():
                 client.end("mute")
             elif (
                 is_crowded
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -301,6 +301,16 @@
             self.reactor.advance(0)
         self.assertEqual((begun, many.producerState), (["acme"] * 3 + ["ines"] + ["acme"] * 7, "producing"))
 
+    # Guards against silent connections that keep those that there is room to refuse waiting in the kernel.
+    def test_a_silent_connection_without_room_is_refused_within_a_moment(self) -> None:
+        self.clients.max_connections = 1
+        self.client().feed(client_query())
+        silent = self.client(opened=False)
+        self.wait(0.2)
+        self.assertIn(b"C53300\0", silent.sent())
+        self.assertTrue(silent.settle())
+        self.assertEqual(self.end_codes(), ["full"])
+
     def test_no_query_is_begun_while_the_client_does_not_read(self) -> None:
         transport = self.client()
         transport.producer.pauseProducing()
