--- a/tealsail/lab/soak/hostile_clients.py
+++ b/tealsail/lab/soak/hostile_clients.py
@@ -287,7 +287,8 @@
         )
         connection.writer.write(data)
         await asyncio.sleep(clients.random.uniform(0, 0.05))
-        connection.close()
+        connection.ended.cancel()
+        connection.writer.transport.abort()  # close() would first wait until all that it holds is written
         closed_at = time.monotonic()
         clients.left += [(each, closed_at) for each in identifiers]
         await asyncio.sleep(0.1)
