--- a/tealsail/net/client_connection.py
+++ b/tealsail/net/client_connection.py
@@ -44,6 +44,7 @@
 HALF_CLOSE_TIMEOUT_S = 0.5  # for the other side's end, after ours
 REFUSED_TIMEOUT_S = 0.05  # the same for a connection that there was no room for
 MAX_HALF_CLOSED = 32  # connections that wait for the other side's end; more are closed at once
+MAX_REFUSED_HALF_CLOSED = 8  # the same before one that there was no room for closes at once
 
 
 class ReceivedQuery(NamedTuple):
@@ -537,7 +538,8 @@
         if last_message:
             self.write(last_message)
         self.transport.unregisterProducer()  # the transport asks a paused producer for more, and never ends
-        if (last_message or code == "closing") and self.clients.half_closed < MAX_HALF_CLOSED:
+        most = MAX_HALF_CLOSED if self.is_admitted else MAX_REFUSED_HALF_CLOSED
+        if (last_message or code == "closing") and self.clients.half_closed < most:
             self.clients.half_closed += 1
             self.is_half_closed = True
             self.transport.resumeProducing()
