--- a/tealsail/choices/memory_budget.py
+++ b/tealsail/choices/memory_budget.py
@@ -16,6 +16,9 @@
 ANSWER_SHARE = 0.25  # of the room
 LARGE_SHARE = 0.75  # of what requests may take: the rest is for small ones alone
 SHORT_LARGE_SHARE = 0.4  # the same while memory is short
+LIST_COPIES = 8  # of a list's bytes: as they came and decoded
+MIN_LIST = 2 * BYTES_PER_MB  # that a list may have in any process, four times what 3,200 units take
+MAX_LIST = 8 * BYTES_PER_MB
 SHORT_SHARE = 0.75  # of the room, above which memory is short
 REQUEST_COPIES = 3  # of a request's text: as it came, as a statement, and on its way to a unit
 REQUEST_OVERHEAD = 2048  # of a request besides its text
@@ -41,6 +44,7 @@
 
     requests: int
     answers: int
+    list_bytes: int  # that one reply of discovery may have
     short_above: int  # used by the process
 
 
@@ -48,7 +52,8 @@
     """The shares of a process that may use `limit`, and uses so much at rest (0: not known)."""
     used = used or USED_AT_REST
     room = max(MIN_ROOM, limit - used)
-    return MemoryShares(int(REQUEST_SHARE * room), int(ANSWER_SHARE * room), used + int(SHORT_SHARE * room))
+    list_bytes = min(MAX_LIST, max(MIN_LIST, room // LIST_COPIES))
+    return MemoryShares(int(REQUEST_SHARE * room), int(ANSWER_SHARE * room), list_bytes, used + int(SHORT_SHARE * room))
 
 
 def memory_level(used: int, shares: MemoryShares) -> MemoryLevel:
--- a/tealsail/net/discovery.py
+++ b/tealsail/net/discovery.py
@@ -10,11 +10,11 @@
 from twisted.python.failure import Failure
 
 from ..choices.backoff import Backoff
+from ..choices.memory_budget import MAX_LIST
 from .connections import OutgoingConnection, PersistentConnection
 from .counters import Counters
 
 MAX_HEAD_BYTES = 16 * 1024  # of a reply's head, and of one line between chunks
-MAX_BODY_BYTES = 8 * 1024 * 1024
 WATCH_WAIT_S = 20.0  # for which the agent may hold a watch until something changes
 # Beyond the watch's wait.  A change that a silent watch misses counts as known to the relay 2 s after the wait, so
 # another answer must have come by then: half of that is for the silent watch, half for the connection that replaces it.
@@ -111,7 +111,9 @@
 class ReplyParser:
     """Cuts a stream that comes in pieces of any size into HTTP replies; raises Unreadable."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_body: int = MAX_LIST) -> None:
+        """`max_body`: bytes that a reply's body may have."""
+        self.max_body = max_body
         self.buffer = bytearray()
         self.status = 0  # of the current reply, 0 until its head is complete
         self.length: int | None = None  # of its body or of the current chunk; None: up to the end of the stream
@@ -144,7 +146,7 @@
         if self.chunked:
             return self.parse_chunk(replies)
         if self.length is None or len(self.buffer) < self.length:
-            if len(self.buffer) > MAX_BODY_BYTES:
+            if len(self.buffer) > self.max_body:
                 raise Unreadable("body too long")
             return False
         body = bytes(self.buffer[: self.length])
@@ -175,7 +177,7 @@
         self.status = int(status)
         self.chunked = headers.get(b"transfer-encoding", b"").lower().endswith(b"chunked")
         length = headers.get(b"content-length")
-        if length is not None and not (length.isdigit() and int(length) <= MAX_BODY_BYTES):
+        if length is not None and not (length.isdigit() and int(length) <= self.max_body):
             raise Unreadable("invalid content length")
         self.length = 0 if self.status in (204, 304) else int(length) if length is not None else None
         retry_after = headers.get(b"retry-after", b"")  # the other form, a date, is ignored
@@ -207,7 +209,7 @@
                 self.length = int(line.split(b";")[0].strip(), 16)
             except ValueError:
                 raise Unreadable("invalid chunk size") from None
-            if not 0 <= self.length + len(self.body) <= MAX_BODY_BYTES:
+            if not 0 <= self.length + len(self.body) <= self.max_body:
                 raise Unreadable("body too long")
             if not self.length:
                 self.in_trailer, self.length = True, None
@@ -233,7 +235,7 @@
     """One connection to the discovery agent, with one request at a time."""
 
     def __init__(self, discovery: "Discovery") -> None:
-        self.discovery, self.parser = discovery, ReplyParser()
+        self.discovery, self.parser = discovery, ReplyParser(discovery.max_body)
         self.reply_began: float | None = None  # when the first piece of the current reply came, in seconds
 
     def connectionMade(self) -> None:
@@ -292,8 +294,11 @@
         on_update: Callable[[ListUpdate], None],
         backoff: Backoff,
         refusal_backoff: Backoff,
+        max_body: int = MAX_LIST,
     ) -> None:
+        """`max_body`: bytes that a reply's body may have."""
         super().__init__(reactor, address, counters, backoff)
+        self.max_body = max_body
         self.path, self.on_update, self.refusal_backoff = path, on_update, refusal_backoff
         self.version: int | None = None  # None: ask for the whole list
         self.retry_after_s = 0  # what the last refusal asked for
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -252,6 +252,7 @@
             self.listed,
             Backoff(jitter),
             fleet_backoff(jitter, *self.fleet_pacing),
+            self.memory_shares.list_bytes,
         )
         self.platform = Platform(
             reactor,
