--- a/tealsail/command/process_memory.py
+++ b/tealsail/command/process_memory.py
@@ -10,7 +10,7 @@
 TRIM_THRESHOLD_OPTION = -1
 MMAP_THRESHOLD_OPTION = -3
 TRIM_THRESHOLD_BYTES = 128 * 1024  # unused memory at the heap's end that is kept
-MMAP_THRESHOLD_BYTES = 32 * 1024  # a buffer of so many bytes or more is given back when it is freed
+MMAP_THRESHOLD_BYTES = 64 * 1024  # a buffer of so many bytes or more is given back when it is freed
 # Collections of young objects before one of all objects: requests that have ended stay in memory until then.
 COLLECTIONS_BEFORE_ALL = 3
 
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -23,7 +23,7 @@
 DATABASE = b"store"
 LOAD_PARAMETER = b"stats"  # the parameter in which a unit reports its load
 READ_BYTES = 4096  # of one connection in one turn of the event loop
-LARGE_READ_BYTES = 64 * 1024  # the same in the middle of a large message
+LARGE_READ_BYTES = 32 * 1024  # the same in the middle of a large message
 MAX_UNASKED_MESSAGES = 64  # of one connection outside an answer, since the last answer
 LOAD_LIMIT = 1e6  # every figure of a load report is below it
 
