--- a/tealsail/lab/scale/hollow_process.py
+++ b/tealsail/lab/scale/hollow_process.py
@@ -15,7 +15,7 @@
 from twisted.python.failure import Failure
 
 from ...net import statements
-from ...net.clients import Rejected
+from ...net.answers import Rejected
 from ...net.discovery import Entry as RelayEntry, ListUpdate
 from ...net.platform import PlatformState
 from ...net.relay import unit_number
