Measure memory before, at its peak and after a crowd in one way

All three figures are proportional now; the check, that less than half of what the crowd added stays, is the same.

--- a/tealsail/lab/soak/relay_process.py
+++ b/tealsail/lab/soak/relay_process.py
@@ -251,6 +251,15 @@
     return (peak - resident + proportional) * 1024 / BYTES_PER_MB
 
 
+def proportional_memory_mb(pid: int) -> float:
+    """The memory that a process has in use now, its part of shared pages alone; 0 once it is gone."""
+    try:
+        rollup = Path(f"/proc/{pid}/smaps_rollup").read_text()
+        return int(rollup.split("\nPss:")[1].split()[0]) * 1024 / BYTES_PER_MB
+    except (OSError, IndexError, ValueError):
+        return 0.0
+
+
 def resident_memory_mb(pid: int) -> float:
     """The memory that a process has in use now, shared pages in full; 0 once it is gone."""
     try:
--- a/tealsail/lab/soak/run.py
+++ b/tealsail/lab/soak/run.py
@@ -15,7 +15,7 @@
 
 from .hostile_clients import HostileReport, Order
 from .plan import KILL_AFTER_S, OpenConnections, Plan, Signals
-from .relay_process import CHECKOUT, RelayProcess, resident_memory_mb
+from .relay_process import CHECKOUT, RelayProcess, proportional_memory_mb
 from .stand_ins import Attempt, Discovery, Platform, Unit
 from .usual_clients import Answered, UsualClients
 
@@ -31,9 +31,11 @@
     """What a run showed: sentences on what broke a rule, and figures."""
 
     findings: list[str]
-    rest_mb: float  # resident memory of the first relay before the clients came
-    peak_mb: float  # of the relay that took the most
-    end_mb: float  # resident memory of the first relay after the clients had left; 0 if it had ended
+    # Proportional memory of the first relay before the clients came, the most of any relay, and that of the first
+    # after the clients had left (0 if it had ended).
+    rest_mb: float
+    peak_mb: float
+    end_mb: float
     answers: list[Answered]  # of the usual clients
     owed: int
     unmet: int
@@ -99,7 +101,7 @@
         """Start, let the clients and signals of the plan act, and end."""
         try:
             await self.start()
-            self.rest_mb = resident_memory_mb(self.relays[0].life.process.pid)
+            self.rest_mb = proportional_memory_mb(self.relays[0].life.process.pid)
             self.clients = [
                 UsualClients(relay, self.plan.usual_clients, self.plan.seed, self.plan.value_bytes)
                 for relay in self.relays
@@ -109,7 +111,7 @@
             )
             await asyncio.gather(*(each.end() for each in self.clients))
             await asyncio.sleep(SETTLE_S)
-            self.end_mb = resident_memory_mb(self.relays[0].life.process.pid)
+            self.end_mb = proportional_memory_mb(self.relays[0].life.process.pid)
         finally:
             await self.end()
         return self.result()
