--- a/tealsail/choices/pipelining.py
+++ b/tealsail/choices/pipelining.py
@@ -5,6 +5,8 @@
 
 MAX_AT_ONCE = 32  # requests of one connection in progress, or answered behind an earlier one; few clients send so many
 MAX_ANSWER_BYTES = 64 * 1024  # of one connection's answers that wait for an earlier one; one value may be as long
+READ_BYTES = 4096  # of one connection in one turn of the event loop, so that others have their turn
+LARGE_READ_BYTES = 32 * 1024  # the same in the middle of a large message, or where all is dropped
 TURN_TIME = 100  # tenths of a ms of a turn of the event loop in which queries are begun
 MAX_ANSWER_BYTES_IN_ALL = 2 * 1024 * 1024  # of all connections together, in a process of 32 MB
 
@@ -24,3 +26,8 @@
 def is_time_left(used: int) -> bool:
     """Whether a turn of the event loop that has taken so long (tenths of a ms) may begin another query."""
     return used < TURN_TIME
+
+
+def read_size(missing: int) -> int:
+    """How many bytes to read of a connection in a turn, where so many of a message that has begun are missing."""
+    return min(LARGE_READ_BYTES, max(READ_BYTES, missing))
--- a/tealsail/lab/soak/plan.py
+++ b/tealsail/lab/soak/plan.py
@@ -11,7 +11,7 @@
 CROWD_SIZES = (100, 400, 800)
 
 
-class OpenConnections(NamedTuple):
+class Crowd(NamedTuple):
     """Hostile clients of one kind at one relay: from `after_s` on for `seconds`, `connections` at once."""
 
     kind: str
@@ -48,7 +48,7 @@
     unit_latency_s: float = 0.02
     value_bytes: int = 40
     usual_clients: int = 8
-    crowds: tuple[OpenConnections, ...] = ()
+    crowds: tuple[Crowd, ...] = ()
     signals: tuple[Signals, ...] = ()
 
 
@@ -58,7 +58,7 @@
     relays = chance.choice((1, 2, 3))
     seconds = 6.0
     crowds = [
-        OpenConnections(
+        Crowd(
             chance.choice(sorted(KINDS)),
             chance.randrange(relays),
             chance.uniform(0, 1.5),
@@ -69,7 +69,7 @@
     ]
     if chance.random() < 0.5:
         crowds.append(
-            OpenConnections(
+            Crowd(
                 chance.choice(CROWDS),
                 chance.randrange(relays),
                 chance.uniform(0, 1),
--- a/tealsail/lab/soak/run.py
+++ b/tealsail/lab/soak/run.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from .hostile_clients import HostileReport, Order
-from .plan import KILL_AFTER_S, OpenConnections, Plan, Signals
+from .plan import KILL_AFTER_S, Crowd, Plan, Signals
 from .relay_process import CHECKOUT, RelayProcess, proportional_memory_mb
 from .stand_ins import Attempt, Discovery, Platform, Unit
 from .usual_clients import Answered, UsualClients
@@ -116,7 +116,7 @@
             await self.end()
         return self.result()
 
-    async def send_hostile(self, crowd: OpenConnections) -> None:
+    async def send_hostile(self, crowd: Crowd) -> None:
         """Start hostile clients at their time, and wait for their report."""
         await asyncio.sleep(crowd.after_s)
         number = self.plan.seed * 100 + self.plan.crowds.index(crowd)
@@ -198,14 +198,15 @@
         return [
             f"{identifier} of class {name} began {len(begun)} times: {[round(at - begun[0], 3) for at in begun]}"
             for (identifier, name), begun in times.items()
-            if (name == "submit" and any(not self.was_restarted(*pair) for pair in pairwise(begun)))
+            if (name == "submit" and any(not self.was_restarted(identifier, *pair) for pair in pairwise(begun)))
             or (name == "book" and begun[-1] - begun[0] > MEMORY_S)
-            or (len(begun) > MAX_ATTEMPTS and not self.was_restarted(begun[0], begun[-1]))
+            or (len(begun) > MAX_ATTEMPTS and not self.was_restarted(identifier, begun[0], begun[-1]))
         ]
 
-    def was_restarted(self, since: float, until: float) -> bool:
-        """Whether a relay began anew in between, which knows no ids of before."""
-        return any(since < at < until for relay in self.relays for at in relay.started_at)
+    def was_restarted(self, identifier: str, since: float, until: float) -> bool:
+        """Whether the relay that the request went to began anew in between, which knows no ids of before."""
+        port = int(identifier.split("x")[1])
+        return any(since < at < until for relay in self.relays if relay.port == port for at in relay.started_at)
 
     def left_findings(self) -> list[str]:
         """Attempts that began too long after their client's close."""
--- a/tealsail/net/client_connection.py
+++ b/tealsail/net/client_connection.py
@@ -16,7 +16,7 @@
 
 from ..choices.connection_lifetimes import may_close_idle
 from ..choices.memory_budget import SMALL_MESSAGE, ByteBudget, request_cost
-from ..choices.pipelining import may_begin
+from ..choices.pipelining import LARGE_READ_BYTES, READ_BYTES, may_begin, read_size
 from . import messages, statements
 from .answers import (
     CONNECTION_LIMIT_CODE,
@@ -35,8 +35,6 @@
 MAX_HELD_BYTES = 64 * 1024  # of one connection's waiting queries; reading pauses above it and resumes below half
 ENTRY_BYTES = 256  # counted for each queue entry, besides its text
 PAUSED_CHECK_S = 0.05  # between checks whether a client has closed a connection that is not read
-READ_BYTES = 4096  # of one connection in one turn of the event loop, so that others have their turn
-LARGE_READ_BYTES = 32 * 1024  # the same in the middle of a large message, or where all is dropped
 MAX_OTHER_MESSAGES = 64  # of one connection that are no queries, up to its next query
 MAX_QUEUED_ENTRIES = 64  # of one connection, refusals among them
 MAX_QUEUED_QUERIES = 32  # of one connection; a well-behaved client does not send so many at once
@@ -229,7 +227,7 @@
         """Hold the message that has begun if there is room for all of it, or else skip it to its end."""
         if self.code or self.ignores_input:
             return
-        self.transport.bufferSize = min(LARGE_READ_BYTES, max(READ_BYTES, self.splitter.missing()))
+        self.transport.bufferSize = read_size(self.splitter.missing())
         length = self.splitter.incomplete_length()
         if length <= SMALL_MESSAGE or self.incomplete_cost:
             return
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -5,12 +5,14 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import chain
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory
 
 from ..choices.connection_lifetimes import IDLE_GRACE
+from ..choices.eviction import EvictionRank, eviction_rank
 from ..choices.memory_budget import (
     DEFAULT_MEMORY,
     LARGE_SHARE,
@@ -32,7 +34,6 @@
 SPARE_CONNECTIONS = 40  # beyond `max_connections`, which are told that there is no room
 STARTUP_TIME = 1_000  # for the startup message of a connection that there is no room for
 MAX_EVICTION_CANDIDATES = 8  # idle connections examined to find one that can make room
-FIRST_QUERY_TIMEOUT = 5_000  # a connection without a query for longer is the first to make room
 CROWDED_SHARE = 0.25  # of `max_connections`: above it, connections idle for longer than IDLE_GRACE are ended
 
 
@@ -128,26 +129,17 @@
         return evicted is not None
 
     def eviction_candidates(self, new: ClientConnection) -> list[ClientConnection]:
-        """A few idle connections, in the order in which they make room for a new one.
-
-        Those come first that should have sent their first query by now, or the rest of a message; then those that have
-        rested for a while; last those that may be about to send, or are sending.
-        """
+        """A few idle connections, in the order in which they make room for a new one."""
         now = self.clock()
-        late, rested, others, sending = [], [], [], []
+        by_rank: dict[EvictionRank, list[ClientConnection]] = {rank: [] for rank in EvictionRank}
         for each in self.connections:  # in the order in which they became idle
             if each is new or not each.is_idle():
                 continue
-            idle = now - each.idle_since
-            if each.partial_since:
-                (late if may_displace(now - each.partial_since) else sending).append(each)
-            elif not each.has_queried and idle >= FIRST_QUERY_TIMEOUT:
-                late.append(each)
-            else:
-                (rested if each.has_queried and idle > IDLE_GRACE else others).append(each)
-            if len(late) >= MAX_EVICTION_CANDIDATES:
+            partial = now - each.partial_since if each.partial_since else None
+            by_rank[eviction_rank(now - each.idle_since, partial, each.has_queried)].append(each)
+            if len(by_rank[EvictionRank.OVERDUE]) >= MAX_EVICTION_CANDIDATES:
                 break
-        return (late + rested + others + sending)[:MAX_EVICTION_CANDIDATES]
+        return list(chain.from_iterable(by_rank.values()))[:MAX_EVICTION_CANDIDATES]
 
     def became_idle(self, client: ClientConnection) -> None:
         """Keep `connections` in the order in which they became idle."""
--- a/tealsail/net/process_memory.py
+++ b/tealsail/net/process_memory.py
@@ -25,7 +25,7 @@
 class ProcessMemory:
     """Follows the memory of a process; `read` gives the bytes that it has in use, 0 for unknown.
 
-    `on_level` is called with each new level, and again at each check while the level is not NORMAL.
+    `on_level` is called with each new level.
     """
 
     def __init__(
@@ -55,8 +55,6 @@
                 self.shares.short_above / BYTES_PER_MB,
             )
             self.on_level(level)
-        elif level != MemoryLevel.NORMAL:
-            self.on_level(level)
         self.timer = self.reactor.callLater(CHECK_INTERVAL_S, self.check)
 
     def stop(self) -> None:
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -363,7 +363,7 @@
         self.clock_check_timer = self.reactor.callLater(CLOCK_CHECK_S, self.check_clocks)
 
     def on_memory_level(self, level: MemoryLevel) -> None:
-        """Memory has become short, or is short still, or is no longer."""
+        """Memory has become short, or is short no longer."""
         self.clients.large_share = large_share(level)
 
     def log_duties(self) -> None:
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -14,6 +14,7 @@
 
 from ..choices.connection_lifetimes import choose_idle_connection, idle_limits
 from ..choices.memory_budget import DEFAULT_MEMORY, SMALL_MESSAGE, USED_AT_REST, ByteBudget, answer_cost, share_out
+from ..choices.pipelining import READ_BYTES, read_size
 from . import messages
 from .connections import OutgoingConnection, connect
 from .counters import Counters
@@ -22,8 +23,6 @@
 USER = b"backend"  # this and the next as clients name them; units welcome any
 DATABASE = b"store"
 LOAD_PARAMETER = b"stats"  # the parameter in which a unit reports its load
-READ_BYTES = 4096  # of one connection in one turn of the event loop
-LARGE_READ_BYTES = 32 * 1024  # the same in the middle of a large message
 MAX_UNASKED_MESSAGES = 64  # of one connection outside an answer, since the last answer
 LOAD_LIMIT = 1e6  # every figure of a load report is below it
 
@@ -118,7 +117,7 @@
 
     def hold_answer(self) -> None:
         """Hold a large answer that has begun if there is room for all of it; else leave it with the unit for now."""
-        self.transport.bufferSize = min(LARGE_READ_BYTES, max(READ_BYTES, self.splitter.missing()))
+        self.transport.bufferSize = read_size(self.splitter.missing())
         length = self.splitter.incomplete_length()
         if length > SMALL_MESSAGE and not self.answer_cost:
             self.answer_cost = answer_cost(length)
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -5,6 +5,7 @@
 from hypothesis import given, strategies as st
 
 from tealsail.choices.connection_lifetimes import answer_deadline
+from tealsail.choices.eviction import EvictionRank, eviction_rank
 from tealsail.choices.recent_ids import RecentIds, must_be_remembered
 from tealsail.choices.spill import SpillFactor, ZoneView, split
 from tealsail.choices.tiers import Tier, Zoning, tiers
@@ -352,3 +353,21 @@
         self.assertFalse(must_be_remembered("harmless", may_have_run=True, has_client_left=False))
         self.assertTrue(must_be_remembered("harmless", may_have_run=True, has_client_left=True))
         self.assertFalse(must_be_remembered("one-shot", may_have_run=False, has_client_left=True))
+
+
+class Eviction(unittest.TestCase):
+    # Guards against connections that are about to send, and make room for new ones before those that should have sent.
+    def test_overdue_connections_make_room_before_rested_ones_and_those_that_send(self) -> None:
+        ranks = [
+            eviction_rank(idle, partial, has_queried)
+            for idle, partial, has_queried in (
+                (SECOND, None, False),
+                (SECOND, SECOND // 2, True),
+                (SECOND, None, True),
+                (SECOND // 10, None, True),
+                (SECOND // 10, None, False),
+                (SECOND, SECOND // 10, True),
+            )
+        ]
+        expected = [EvictionRank.OVERDUE] * 2 + [EvictionRank.RESTED] + [EvictionRank.EXPECTED] * 2
+        self.assertEqual(ranks, [*expected, EvictionRank.SENDING])
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from tealsail.lab.soak.plan import OpenConnections, Plan
+from tealsail.lab.soak.plan import Crowd, Plan
 from tealsail.lab.soak.relay_process import Limits, resident_memory_mb
 from tealsail.lab.soak.run import Run, RunResult, compile_program, play, summary
 
@@ -27,7 +27,7 @@
         unit_latency_s: float = UNIT_LATENCY_S,
         value_bytes: int = 40,
     ) -> RunResult:
-        crowd = OpenConnections(kind, 0, 0.2, SECONDS, connections)
+        crowd = Crowd(kind, 0, 0.2, SECONDS, connections)
         plan = Plan(1, limits, unit_latency_s=unit_latency_s, value_bytes=value_bytes, crowds=(crowd,))
         result = asyncio.run(play(plan))
         self.assertEqual(result.findings, [], summary(result))
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -23,12 +23,12 @@
         for used in (30, 60, 58, 31):
             self.used = used * BYTES_PER_MB
             self.reactor.advance(0.5)
-        self.assertEqual(self.levels, [MemoryLevel.SHORT, MemoryLevel.SHORT, MemoryLevel.NORMAL])
+        self.assertEqual(self.levels, [MemoryLevel.SHORT, MemoryLevel.NORMAL])
         self.assertEqual(self.counters.counts["memory.most_mb"], 60)
         self.assertEqual((self.counters.counts["memory.short"], self.counters.counts["memory.normal"]), (1, 1))
         self.memory.stop()
         self.reactor.advance(9)
-        self.assertEqual(len(self.levels), 3)
+        self.assertEqual(len(self.levels), 2)
 
     # Guards against a list of the control service that takes more memory than the process has.
     def test_a_list_may_be_as_long_as_the_memory_allows(self) -> None:
