--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A burst whose connections come up late: does a build on trial get more than its share in some window?"""
+"""A relay restarts while discovery is down: does it send to a unit that its agent has listed as draining?"""
 
 import asyncio
 import os
@@ -8,65 +8,92 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from stand_ins_2 import Answer, Client, Discovery, Platform, RelayProcess, Unit, World, play  # noqa: E402
+from stand_ins_2 import (  # noqa: E402
+    READY,
+    Answer,
+    Attempt,
+    Client,
+    Discovery,
+    Platform,
+    RelayProcess,
+    Unit,
+    World,
+    error,
+    play,
+)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LATE_S = 0.23  # a new connection comes up so late; dialTimeout is 0.25 s
-SPAN_S, FREE, CAP = 2.0, 1, 0.42  # domain.span, domain.free, domain.mostShares of the second stage
-PASSES, PASSES_SHARE = 2, 0.04  # "2 attempts and 4% more than the cap pass"
-HELD_S = 0.15  # for which a relay may be held up: requests of so long before a window count as taken in it
-REQUESTS, RATE = 40, 750.0
-UNITS, NEW_UNITS = 12, 3  # a quarter of the fleet, as the second stage has it
-BUILD = 42
-TENANTS = ("caroni-univ", "arima-college")
+GRACE_S = 1.0  # rules.drainGrace
+SLACK_S = 0.05  # on sockets
+DOWN_S = 8.0  # for which discovery is down
+RATE = 8.0  # requests a second
+QUIET_S = 1.2  # from the new process's readiness to its first request
 
 
 async def day(world: World) -> tuple[list[str], bool]:
-    units = [Unit(world, f"s-{index:04x}", BUILD if index < NEW_UNITS else 41, 0.15) for index in range(UNITS)]
+    units = [Unit(world, f"s-{index:04x}") for index in range(5)]
     discovery, platform = Discovery(world), Platform(world)
-    platform.state = {"Revision": BUILD, "Wave": 1, "State": "canary", "MaxShare": CAP}
-    platform.since = world.now() - 1
     for unit in units:
         await unit.open()
-        unit.setup_delay_s = lambda: LATE_S if TROUBLE else 0.0
         discovery.entries[unit.name] = unit.entry()
         discovery.changed_at[unit.name] = discovery.version
     await discovery.open()
     await platform.open()
     relay = RelayProcess(world, "n0", discovery, platform)
-    relay.write_config()
+    relay.write_config()  # `known` holds the list as this relay had it last
     await relay.start()
-    await asyncio.sleep(1)
-    taken: list[float] = []
     answers: list[Answer] = []
 
     async def ask(number: int) -> None:
         client = await Client.connect(world, relay.port)
-        taken.append(world.now())
-        answers.append(await client.ask(f"{number:08x}", "report-fetch", 3000, tenant=TENANTS[number % 2]))
+        kind = "paper-submit" if number % 4 == 0 else "report-fetch"
+        answers.append(await client.ask(f"{number:08x}", kind, 3000, is_write=number % 4 == 0))
         client.close()
 
-    asked = []
-    for number in range(REQUESTS):
-        asked.append(asyncio.ensure_future(ask(number)))
-        await asyncio.sleep(1 / RATE)
-    await asyncio.wait(asked, timeout=6)
-    attempts = sorted(each.at for unit in units[:NEW_UNITS] for each in unit.attempts)
-    worst = (0.0, "")
-    for begin in attempts:
-        sent = sum(begin <= at < begin + SPAN_S for at in attempts)
-        requests = sum(begin - HELD_S <= at < begin + SPAN_S for at in taken)
-        most = FREE + CAP * requests * (1 + PASSES_SHARE) + PASSES
-        strict = FREE + CAP * sum(begin <= at < begin + SPAN_S for at in taken) * (1 + PASSES_SHARE) + PASSES
-        text = (
-            f"in the {SPAN_S:g} s from {begin - taken[0]:.3f} s after the first request on: {sent} attempts at build "
-            f"{BUILD}, at most {most:.1f} for {requests} requests ({strict:.1f} without {HELD_S} s of allowance)"
-        )
-        worst = max(worst, (sent - most, text))
+    async def traffic(seconds: float, first: int) -> None:
+        asked = []
+        end = world.now() + seconds
+        while world.now() < end:
+            asked.append(asyncio.ensure_future(ask(first + len(asked))))
+            await asyncio.sleep(1 / RATE)
+        await asyncio.wait(asked, timeout=5)
+
+    await traffic(3.0, 0)
+    drained = max(units, key=lambda unit: len(unit.attempts))
+    world.note("the relay is killed")
+    relay.kill()
+    await relay.process.wait()
+
+    async def turn_away(attempt: Attempt) -> None:
+        attempt.connection.write(error("53300", "draining") + READY)
+
+    drained.work = turn_away
+    await discovery.tell(drained.entry("draining"))
+    world.note("the agent has it:", drained.name, "drains")
+    await asyncio.sleep(0.5)
+    if TROUBLE:
+        await discovery.set_silent(True)
+    began = world.now()
+    await relay.start()
+    ready = world.now()
+    told = ready  # later than "from the first moment of a new process"
+    await asyncio.sleep(QUIET_S)
+    loading = asyncio.ensure_future(traffic(DOWN_S - (world.now() - began) - 0.2, 1000))
+    await asyncio.sleep(max(0.0, DOWN_S - (world.now() - began)))
+    returned = world.now()
+    await discovery.set_silent(False)
+    await loading
+    await traffic(1.0, 5000)
+    late = [each for each in drained.attempts if told + GRACE_S + SLACK_S < each.at < returned]
+    broken = [
+        f"{len(late)} attempts at {drained.name} from {late[0].at - told:.2f} to {late[-1].at - told:.2f} s after "
+        "the new process was told that it drains"
+        for _ in late[:1]  # one line, if any
+    ]
     kinds = {kind: sum(each.kind == kind for each in answers) for kind in ("served", "refused", "failed")}
-    print(f"{kinds}, {len(attempts)} attempts at the build on trial; the worst window is over by {worst[0]:.1f}")
-    world.note(kinds, worst)
-    return [worst[1]] if worst[0] > 0 else [], len(answers) == REQUESTS and len(attempts) > 3
+    print(f"{len(answers)} answers {kinds}; {len(late)} attempts at the draining unit after the grace")
+    world.note(kinds, "late attempts:", len(late))
+    return broken, len(answers) > 30 and kinds["served"] > 30
 
 
 if __name__ == "__main__":
