--- a/review/10/case.py
+++ b/review/10/case.py
@@ -21,7 +21,11 @@
 TENANTS = ("caroni-univ", "arima-college")
 
 
-async def day(world: World) -> tuple[list[str], bool]:
+SEEDS = ("8c1f30d27a5be964", "1d20", "2e31", "3f42")  # one start of a relay with each: its choices are random
+
+
+async def play_burst(world: World, seed: str) -> tuple[float, str, int, int]:
+    """One start and one burst: by how much the worst window is over, in words, the attempts, and the answers."""
     units = [Unit(world, f"s-{index:04x}", BUILD if index < NEW_UNITS else 41, 0.15) for index in range(UNITS)]
     discovery, platform = Discovery(world), Platform(world)
     platform.state = {"Revision": BUILD, "Wave": 1, "State": "canary", "MaxShare": CAP}
@@ -33,8 +37,8 @@
         discovery.changed_at[unit.name] = discovery.version
     await discovery.open()
     await platform.open()
-    relay = RelayProcess(world, "n0", discovery, platform)
-    relay.write_config()
+    relay = RelayProcess(world, f"n-{seed}", discovery, platform)
+    relay.write_config(seed=seed)
     await relay.start()
     await asyncio.sleep(1)
     taken: list[float] = []
@@ -66,7 +70,16 @@
     kinds = {kind: sum(each.kind == kind for each in answers) for kind in ("served", "refused", "failed")}
     print(f"{kinds}, {len(attempts)} attempts at the build on trial; the worst window is over by {worst[0]:.1f}")
     world.note(kinds, worst)
-    return [worst[1]] if worst[0] > 0 else [], len(answers) == REQUESTS and len(attempts) > 3
+    relay.kill()
+    await relay.process.wait()
+    return *worst, len(attempts), len(answers)
+
+
+async def day(world: World) -> tuple[list[str], bool]:
+    bursts = [await play_burst(world, seed) for seed in SEEDS]
+    broken = [text for over, text, _, _ in bursts if over > 0]
+    attempts = [each[2] for each in bursts]
+    return broken, max(attempts) > 3 and all(each[3] == REQUESTS for each in bursts)
 
 
 if __name__ == "__main__":
