Answer a stopping relay's backlog up to its end, and end before the earliest kill

Cause: past the longest deadline (`ShutdownWatch.is_overdue`) three rules of a relay's end were left out: the backlog was no longer accepted, one empty check was enough, and `abort_stalled` reset accepted connections with their query unread. The limit followed the longest deadline instead of the kill, so with deadlines of 1 or 5 s the kill came first; and Twisted's stopListening closes the socket one turn of the loop after the last look at the backlog.

Change: ShutdownWatch counts back from the earliest kill (listener closes 0.15 s before it, connections without a query end at 0.1 s, the process at 0.05 s); the listener closes in the call that has emptied its backlog, and what has arrived over the connections left is answered. `abort_stalled` became `end_without_query`, its test is the same.

--- a/tealsail/choices/connection_lifetimes.py
+++ b/tealsail/choices/connection_lifetimes.py
@@ -7,8 +7,6 @@
 
 from .backoff import FIRST_LIST_WAIT_S
 
-# Tenths of a ms for which a relay that ends waits for clients that do not close, if no deadline is longer.
-SHUTDOWN_WAIT = 30_000
 # A supervisor may kill a process that it has told to stop once the longest deadline, counted as KILL_DEADLINE_LIMIT
 # where it is longer, and KILL_GRACE have passed.  Tenths of a ms.
 KILL_DEADLINE_LIMIT = 30_000
@@ -16,9 +14,21 @@
 # Tenths of a ms before the kill by which all is answered: the process may be held up for 0.15 s before it reads the
 # signal, and again before it writes the answers.
 KILL_MARGIN = 3_000
+# Tenths of a ms before the kill at which the client listener closes: a process that is held up for 0.15 s just then
+# still answers what is in the backlog.  Clients that were answered at KILL_MARGIN, and whose next query crossed the end
+# of their connection, may connect again until then.
+LISTEN_MARGIN = 1_500
+# Tenths of a ms before the kill at which connections without a query end.
+END_MARGIN = 1_000
+EXIT_MARGIN = 500  # tenths of a ms before the kill at which the relay exits, whatever is left
+# Tenths of a ms within which the first query of a connection in the backlog arrives, at the least.
+FIRST_QUERY_WAIT = 200
 # Checks in a row without a client before a relay ends: at the first, a client whose idle connection it has just closed
 # may be reconnecting.
 EMPTY_CHECKS = 2
+DRAIN_CHECK_S = 0.05  # between checks for remaining clients
+LAST_CHECK_S = 0.005  # the same once only queries that have arrived are awaited
+TENTHS_PER_SECOND = 10_000  # tenths of a ms
 # Tenths of a ms within which a new client sends its first query; idle connections are kept as long when it is crowded.
 IDLE_GRACE = 3_000
 ANSWER_REST_S = 0.02  # nothing that belongs to an answer comes later than this after it
@@ -28,37 +38,64 @@
 REREAD_DELAYS_S = 0.1, 0.2, 0.4, 0.8, 1.6
 
 
-def shutdown_deadline(now: int, deadlines: Sequence[int]) -> int:
-    """Until when a relay that ends waits for clients that neither read nor close: SHUTDOWN_WAIT from `now`, or the
-    longest of the workloads' `deadlines`.  All in tenths of a ms."""
-    return now + max(SHUTDOWN_WAIT, *deadlines)
+def earliest_kill(stopped_at: int, deadlines: Sequence[int]) -> int:
+    """When a process that was told to stop at `stopped_at` may be killed.
+
+    `deadlines`: how long the clients of each workload wait at the most.  All in tenths of a ms.
+    """
+    longest = max(deadlines, default=0) or KILL_DEADLINE_LIMIT
+    return stopped_at + min(longest, KILL_DEADLINE_LIMIT) + KILL_GRACE
 
 
 def answer_deadline(stopped_at: int, deadlines: Sequence[int]) -> int:
     """By when a relay that was told to stop at `stopped_at` answers all that it has taken, before it may be killed.
 
-    `deadlines`: how long the clients of each workload wait at the most.  All in tenths of a ms.
+    Arguments as for `earliest_kill`.
     """
-    longest = max(deadlines, default=0) or KILL_DEADLINE_LIMIT
-    return stopped_at + min(longest, KILL_DEADLINE_LIMIT) + KILL_GRACE - KILL_MARGIN
+    return earliest_kill(stopped_at, deadlines) - KILL_MARGIN
 
 
 class ShutdownWatch:
-    """Decides from repeated checks when a relay that ends has no clients left.  All times are tenths of a ms."""
+    """Decides from repeated checks when a relay that ends closes its client listener, when it ends connections without
+    a query, and when it may exit.  All times are tenths of a ms.
 
-    def __init__(self, now: int, deadlines: Sequence[int]) -> None:
-        """`deadlines`: how long the clients of each workload wait at the most."""
-        self.until = shutdown_deadline(now, deadlines)
+    The listener closes first, so that from then on the connections left are a bounded set.  Each of them gets the
+    answer to what has arrived over it, also where the process was held up in between and all these times have passed.
+    """
+
+    def __init__(self, stopped_at: int, deadlines: Sequence[int]) -> None:
+        """Arguments as for `earliest_kill`."""
+        kill_at = earliest_kill(stopped_at, deadlines)
+        self.listen_until, self.end_at, self.exit_at = (
+            kill_at - margin for margin in (LISTEN_MARGIN, END_MARGIN, EXIT_MARGIN)
+        )
+        self.closed_at: int | None = None  # when the client listener closed
         self.empty_checks = 0  # in a row
 
-    def is_overdue(self, now: int) -> bool:
-        """Whether the relay waits for no client any longer."""
-        return now > self.until
+    def may_accept(self, now: int, clients: int) -> bool:
+        """Whether clients may still connect after this check, which found `clients` connections."""
+        self.empty_checks = 0 if clients else self.empty_checks + 1
+        return now < self.listen_until and self.empty_checks < EMPTY_CHECKS
+
+    def listener_closed(self, now: int) -> None:
+        """No client can connect any more."""
+        self.closed_at = now if self.closed_at is None else self.closed_at
+
+    def ends_idle_at(self) -> int:
+        """From when on connections are ended over which no query has arrived."""
+        first_queries_until = (self.listen_until if self.closed_at is None else self.closed_at) + FIRST_QUERY_WAIT
+        return max(self.end_at, first_queries_until)
 
     def is_over(self, now: int, clients: int) -> bool:
-        """Whether this check, which found `clients` connections, is the last."""
-        self.empty_checks = 0 if clients else self.empty_checks + 1
-        return self.empty_checks >= (1 if self.is_overdue(now) else EMPTY_CHECKS)
+        """Whether the relay may exit; `clients` is the number of connections left."""
+        return now >= self.exit_at or (self.closed_at is not None and not clients)
+
+    def check_delay(self, now: int) -> float:
+        """The time until the next check, in seconds."""
+        if now >= self.ends_idle_at():
+            return LAST_CHECK_S
+        next_limit = min(at for at in (self.listen_until, self.ends_idle_at()) if at > now)
+        return max(LAST_CHECK_S, min(DRAIN_CHECK_S, (next_limit - now) / TENTHS_PER_SECOND))
 
 
 def accept_delay(request_delay: float | None) -> float | None:
--- a/tealsail/net/client_connection.py
+++ b/tealsail/net/client_connection.py
@@ -547,6 +547,19 @@
             # Later, since it may end the connection at once, of which the event loop may have another event at hand.
             self.clients.reactor.callLater(0, self.transport.loseConnection)
 
+    def end_without_query(self) -> None:
+        """End at once unless a query is under way, or waits here or in the kernel.
+
+        An answer that the client has not read goes with the connection.  Otherwise what the kernel holds for the client
+        is still sent, which a reset might overtake.
+        """
+        if self.pending or (not self.code and (self.queue or has_unread_bytes(self.transport))):
+            return
+        if self.write_paused:
+            return self.abort("unread")
+        self.end("closing")
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
     def writeConnectionLost(self) -> None:
         """All is written and our half has ended."""
         timeout = HALF_CLOSE_TIMEOUT_S if self.is_admitted else REFUSED_TIMEOUT_S
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -181,11 +181,19 @@
         for client in list(self.connections):
             client.process_queue()
 
-    def abort_stalled(self) -> None:
-        """Abort connections that wait only for the client to read its answers or to end its half.
+    def accepted(self) -> int:
+        """The number of connections accepted since the start."""
+        return self.counters.counts["clients.connections"]
 
-        Those with a request under way stay, since each request has a deadline of its own.
+    def end_without_query(self) -> None:
+        """End connections that wait only for the client to send, to read its answers, or to end its half.
+
+        Those with a query under way, or unread in the kernel, stay until it is answered.
         """
         for client in list(self.connections):
-            if not client.has_pending:
-                client.abort("unread")
+            client.end_without_query()
+
+    def abort_all(self) -> None:
+        """Abort whatever is left, as the process ends."""
+        for client in list(self.connections):
+            client.abort("unread")
--- a/tealsail/net/kernel.py
+++ b/tealsail/net/kernel.py
@@ -8,6 +8,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
 
 def has_unread_bytes(transport: Any) -> bool:
     """Whether received bytes wait in the kernel.  An end of the stream that waits does not count."""
@@ -78,3 +81,18 @@
     before = None
     while accept and before != (before := count()):
         accept()
+
+
+def close_listener(port: Any, count: Callable[[], int], room: Callable[[], int]) -> bool:
+    """Accept all connections in a listening port's backlog and close the port in the same call.
+
+    Twisted's `stopListening` alone closes it in a later turn of the event loop, which resets what connects in between.
+    Returns False, and leaves the port open, if there is no room for connections that may wait in the backlog.  `count`
+    as for `accept_pending`; `room` is how many connections may be accepted.
+    """
+    accept_pending(port, count)
+    if not room():
+        return False
+    if getattr(port, "connected", False):
+        port.connectionLost(Failure(ConnectionDone()))
+    return True
--- a/tealsail/net/shutdown.py
+++ b/tealsail/net/shutdown.py
@@ -9,10 +9,9 @@
 from ..choices.connection_lifetimes import ShutdownWatch, answer_deadline
 from .clients import Clients
 from .counters import Counters
-from .kernel import accept_pending
+from .kernel import accept_pending, close_listener
 
 STOP_GRACE_S = 0.5  # after a stop is requested, in which the relay still serves as before
-DRAIN_CHECK_S = 0.05  # between checks for remaining clients
 
 
 class OpenInvocation(Protocol):
@@ -54,42 +53,51 @@
         logger.info("stopping: {} open invocations", len(relay.serving))
         self.relay = relay
         self.done: Deferred[None] = Deferred()
-        self.answer_deadline = answer_deadline(relay.clock(), relay.client_deadlines())
-        self.watch: ShutdownWatch | None = None  # whether clients remain, once the relay drains
+        stopped_at = relay.clock()
+        self.answer_deadline = answer_deadline(stopped_at, relay.client_deadlines())
+        self.watch = ShutdownWatch(stopped_at, relay.client_deadlines())
         relay.reactor.callLater(STOP_GRACE_S, self.start_drain)
 
     def start_drain(self) -> None:
         """End idle connections, and the others once they are answered.
 
-        The client listener stays open until no client is left, for clients whose query crossed the end of their
-        connection and who connect again; other clients don't come any more.  Messages of other relays are still taken,
-        since open invocations may need their answers.
+        The client listener stays open until no client is left, or shortly before the process may be killed, for clients
+        whose query crossed the end of their connection and who connect again; other clients don't come any more.
+        Messages of other relays are still taken, since open invocations may need their answers.
         """
         self.relay.accept_clients()
         self.relay.clients.stop_sweeping()
-        self.watch = ShutdownWatch(self.relay.clock(), self.relay.client_deadlines())
         self.check_drain()
 
     def check_drain(self) -> None:
-        """Check for remaining clients every DRAIN_CHECK_S, and close everything after the last check.
+        """Check for remaining clients, and close everything after the last check.
 
         Each check accepts the connections that the kernel has already completed, so that they are served.
         """
         relay, now = self.relay, self.relay.clock()
         if now >= self.answer_deadline:
             self.forfeit_open_invocations()
-        is_overdue = self.watch.is_overdue(now)
-        if not is_overdue:
-            accept_pending(relay.client_listener, lambda: relay.counters.counts["clients.connections"])
+        self.accept_or_close_listener(now)
         relay.clients.close()
-        is_over = self.watch.is_over(now, len(relay.clients.connections))
-        if is_overdue:  # clients that never read their answers, or keep reconnecting, must not hold the relay for ever
-            relay.clients.abort_stalled()
-        if not is_over:
-            relay.reactor.callLater(DRAIN_CHECK_S, self.check_drain)
+        if now >= self.watch.ends_idle_at():  # clients that never read their answers must not hold the relay for ever
+            relay.clients.end_without_query()
+        if self.watch.is_over(now, len(relay.clients.connections)):
+            relay.clients.abort_all()
+            relay.close()
+            self.done.callback(None)
             return
-        relay.close()
-        self.done.callback(None)
+        relay.reactor.callLater(self.watch.check_delay(now), self.check_drain)
+
+    def accept_or_close_listener(self, now: int) -> None:
+        """Accept what is in the backlog, and close the client listener behind it if no more clients may come."""
+        relay = self.relay
+        if self.watch.closed_at is not None:
+            return
+        accept_pending(relay.client_listener, relay.clients.accepted)
+        if self.watch.may_accept(now, len(relay.clients.connections)):
+            return
+        if close_listener(relay.client_listener, relay.clients.accepted, relay.clients.room):
+            self.watch.listener_closed(now)
 
     def forfeit_open_invocations(self) -> None:
         """Answer those that were taken before the stop and are still open: the process may be killed from now on.
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -202,7 +202,7 @@
         transport = self.client()
         transport.feed(client_query() * 3)
         self.clients.close()
-        self.clients.abort_stalled()
+        self.clients.end_without_query()
         for place in (2, 0, 1):
             self.assertFalse(transport.closing)
             self.taken[place].callback(VALUE)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,12 +1,15 @@
 """The end of a relay: what clients send until the process has gone is answered (docs/design/crossings.md)."""
 
 import socket
+from contextlib import suppress
 
+from tealsail.choices.connection_lifetimes import DRAIN_CHECK_S
 from tealsail.net.answers import FORFEITED_CODE, REJECTED_CODE
-from tealsail.net.shutdown import DRAIN_CHECK_S, STOP_GRACE_S
+from tealsail.net.shutdown import STOP_GRACE_S
 
-from .crossing import EMPTY, NOTHING, Crossing, row
+from .crossing import EMPTY, NOTHING, Crossing, free_port, row
 from .fake import READY, ROW, STARTUP, client_query, message
+from .test_relay import config
 
 # After SIGTERM a process may be killed: its longest deadline, here 3 s, and 0.7 s (the operators' protocol page).
 KILL_AFTER_S = 3.7
@@ -234,6 +237,68 @@
         client = self.one_shot_query(number="9b20")
         self.assertIn(REJECTED_CODE.encode(), self.receive_to_close(client))
 
+    def failed_at_the_deadline(self) -> list[None]:
+        """A relay that has just answered its last open query, 0.25 s before it may be killed; the list as above."""
+        self.start_relay()
+        client = self.one_shot_query()
+        self.accept_query()  # and no answer
+        ended = self.begin_stop()
+        self.pass_time(KILL_AFTER_S - STOP_GRACE_S - 0.25)
+        self.assertIn(FORFEITED_CODE.encode(), self.receive_to_close(client))
+        client.close()
+        self.run_until(lambda: not self.relay.clients.connections)
+        return ended
+
+    def connect_again(self) -> socket.socket:
+        """A client that sends a query that has crossed the end of its connection over a new one; nothing is read."""
+        client = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(client.close)
+        client.sendall(STARTUP + client_query(wait=3000, number="9b20"))
+        return client
+
+    def test_query_in_the_backlog_of_a_relay_held_up_near_its_kill_is_answered(self) -> None:
+        """Guards against a relay past its longest deadline that ends without a look at the backlog: review case 7."""
+        ended = self.failed_at_the_deadline()
+        clients = [self.connect_again() for _ in range(20)]
+        self.advance(HELD_UP_S)  # all timers of that time are due at once
+        for client in clients:
+            self.assertIn(REJECTED_CODE.encode(), self.receive_to_close(client))
+            client.close()
+        self.pass_time(0.1)
+        self.assertEqual(len(ended), 1)
+
+    def test_query_unread_at_the_last_check_before_the_kill_is_answered(self) -> None:
+        """Guards against the abort of an accepted connection whose query has arrived and is not read yet."""
+        ended = self.failed_at_the_deadline()
+        client = socket.create_connection(("127.0.0.1", self.port))
+        self.addCleanup(client.close)
+        client.sendall(STARTUP)
+        self.receive_until(client, READY)
+        client.sendall(client_query(wait=3000, number="9b20"))
+        self.wait_until_unread(client)
+        self.advance(0.17)
+        self.assertIn(REJECTED_CODE.encode(), self.receive_to_close(client))
+        self.pass_time(0.05)
+        self.assertEqual(len(ended), 1)
+
+    def test_relay_ends_before_the_kill_whatever_its_deadlines(self) -> None:
+        """Guards against an end later than the earliest kill, with clients that do not read and others that connect and
+        send again and again."""
+        for longest, kill_after in ((1000, 1.7), (2000, 2.7), (3000, 3.7), (60_000, 3.7)):
+            with self.subTest(longest=longest):
+                settings = config()["settings"]
+                classes = [each | {"deadline": longest} for each in settings["requestClasses"]]
+                self.port = free_port()
+                self.start_relay(settings=settings | {"requestClasses": classes})
+                silent = self.connect()
+                silent.sendall(client_query(wait=longest)[:20])
+                ended = self.begin_stop()
+                for _ in range(round((kill_after - STOP_GRACE_S) * 20)):
+                    with suppress(ConnectionError):
+                        self.connect_again()
+                    self.pass_time(0.05)
+                self.assertEqual(len(ended), 1)
+
     def test_peer_messages_are_taken_until_the_last_answer(self) -> None:
         """Guards against a relay that asks another which unit to take and does not receive the answer."""
         self.start_relay()
