Count shots at a build on trial when they are written, and open connections to it ahead

Cause: the cap was checked once, when a unit was chosen, for a rule that counts when the last byte has come. Gate.may_still_send, asked before the write, looked only at whether the cap was above 0. Retries have the same fault: they used up what requests of a second ago allowed.

Change: Gate.may_expose counts a shot at the write; over 0.05 s after its invocation was taken it needs room in every window that ends then (parts.ArrivalBalance). A shot without room ends as never run, its count is taken back, and the invocation goes to an earlier unit. By that alone judges got 1 outcome of such a burst, so small fleets open connections to units on trial ahead (choices/open_ahead.py).

--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -21,6 +21,7 @@
     request_cost,
     share_out,
 )
+from ..choices.open_ahead import connections_to_open, opening_delay
 from ..choices.rate_limits import RateLimiter, count_message_limits
 from ..choices.recent_ids import RecentIds, must_be_remembered
 from ..facade import (
@@ -280,6 +281,7 @@
         self.hold_timer: Any = None  # of a client listener that is held until the list has come
         self.peer_listener: Any = None
         self.timer: Any = None  # of the next tick
+        self.open_ahead_timer: Any = None  # of the opening of connections to units on trial
         self.duties: tuple[int, ...] = ()  # the indexes of the load tracker and the judges, as last logged
         self.clock_check_timer: Any = None
         self.memory = (
@@ -472,8 +474,22 @@
         self.facade.report(Listing(kind, [self.listed_unit(entry) for entry in entries]))
         if kind != "old copy":
             self.accept_clients()
+        self.schedule_open_ahead()
         self.schedule_tick()
 
+    def schedule_open_ahead(self) -> None:
+        """Open connections to units on trial soon, if there may be new ones among them."""
+        if self.open_ahead_timer is None and not self.shutdown and self.facade.relay.trial_units():
+            delay = opening_delay(self.jitter, self.fleet_pacing[0])
+            self.open_ahead_timer = self.reactor.callLater(delay, self.open_ahead)
+
+    def open_ahead(self) -> None:
+        """Open connections to units on trial before a shot needs them."""
+        self.open_ahead_timer = None
+        if not self.shutdown:
+            units = self.facade.relay.trial_units()
+            self.units.open_ahead(connections_to_open(units, self.fleet_pacing[0], self.units.max_connections))
+
     def listed_unit(self, entry: Entry) -> UnitEntry:
         """The entry as the facade takes it."""
         number = unit_number(entry.id)
@@ -491,6 +507,7 @@
         if self.record:
             self.record.rollout_changed(state)
         self.facade.report(RolloutState(state.build, state.stage, state.phase, state.cap, settings.tenths(state.age)))
+        self.schedule_open_ahead()
         self.schedule_tick()
 
     def on_vote_answer(self, answer: str) -> None:
@@ -560,6 +577,7 @@
         self.discovery.stop()
         self.platform.stop()
         self.clock_check_timer.cancel()
+        cancel(self.open_ahead_timer)
         if self.memory:
             self.memory.stop()
         if self.record:
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -327,7 +327,7 @@
         self.load: dict[str, float] | None = None  # the unit's latest report
         self.idle: list[Connection] = []  # in the order of their last use, the latest last
         self.all: dict[Connection, None] = {}
-        self.closed = False
+        self.closed = self.has_opened_ahead = False
 
     def take_idle(self) -> Connection | None:
         """Remove and return the idle connection used last, of those that have rested since their last answer."""
@@ -361,6 +361,15 @@
         connected.addErrback(refused)
         return connection.ready.addBoth(cancel_timer)
 
+    def open_ahead(self, count: int) -> None:
+        """Open connections until there are `count`, for later shots; once only, so that none is kept open unused."""
+        if self.has_opened_ahead:
+            return
+        self.has_opened_ahead = True
+        for _ in range(count - len(self.all)):
+            self.counters.add("units.opened_ahead")
+            self.open().addCallbacks(self.release, lambda reason: None)
+
     def on_setup_timeout(self, connection: Connection, connected: Deferred) -> None:
         if connection.transport:
             connection.end("slow_setup")
@@ -451,6 +460,12 @@
         shot.begin()
         return shot
 
+    def open_ahead(self, counts: dict[int, int]) -> None:
+        """Open so many connections to each of these units, as far as there is room without closing others."""
+        for number, count in counts.items():
+            if number in self.pools and self.held() + count <= self.max_connections:
+                self.pools[number].open_ahead(count)
+
     def hold_answer(self, connection: Connection) -> bool:
         """Count a large answer that has begun if there is room, or if none is being received; else it waits."""
         if self.waiting or not self.has_room_for_answer(connection):
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -8,7 +8,7 @@
 is a list of such lists, one a workload; a pool is a list of the three groups.
 """
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
 from itertools import chain
 from math import erfc, log, sqrt
@@ -88,6 +88,13 @@
         self.tails[stamp % self.size] = max(0.0, tail + amount)
         super().add(now, max(0.0, amount))
 
+    def remove(self, at: int) -> None:
+        """Takes back a shot that was added at `at` and will not be written; the tail of its bucket stays as it is."""
+        stamp = at // self.bucket_width
+        if self.stamps[stamp % self.size] == stamp:
+            self.sums[stamp % self.size] -= 1
+            self.running_total -= stamp >= self.first_stamp
+
     def upper_bound(self, now: int) -> float:
         """The shots of a window of one span that ends now, wherever in its oldest bucket it begins.
 
@@ -98,6 +105,66 @@
         return self.total(now) + within * self.tails[first % self.size]
 
 
+class ArrivalBalance:
+    """Shots at a build on trial, each added when it is written, against what the invocations taken meanwhile allow.
+
+    A shot that is written long after its invocation was taken may fall into windows that do not hold the invocation.
+    So every window of at most one span that ends now counts here, wherever it begins; invocations of up to `lag` before
+    a window count as taken in it.
+    """
+
+    STEPS_PER_LAG = 25  # invocations that are taken in one such step are kept as one
+
+    def __init__(self, span: int, buckets: int, lag: int) -> None:
+        self.lag, self.step = lag, max(1, lag // self.STEPS_PER_LAG)
+        self.bucket_width = max(1, -(-span // buckets))
+        self.size = buckets + 2
+        self.stamps = [-1] * self.size  # number of the bucket's interval, counted from time 0
+        self.sums = [0.0] * self.size  # shots less what is allowed
+        self.tails = [0.0] * self.size  # the largest such sum of a later part of the bucket, wherever it begins
+        self.recent: deque[tuple[int, float]] = deque()  # when invocations were taken, and what they allow, by steps
+
+    def allow(self, now: int, amount: float) -> None:
+        """Adds the part of a shot that an invocation allows which is taken now."""
+        self.enter_recent(now)
+        if self.recent and now - self.recent[-1][0] < self.step:
+            at, earlier = self.recent.pop()
+            self.recent.append((at, earlier + amount))
+        else:
+            self.recent.append((now, amount))
+
+    def add_shot(self, now: int) -> None:
+        """Adds a shot that is written now."""
+        self.enter_recent(now)
+        self.enter(now, 1.0)
+
+    def excess(self, now: int) -> float:
+        """By how much shots exceed what is allowed in the window for which that is most; below zero if none do."""
+        self.enter_recent(now)
+        since_bucket, largest = 0.0, 0.0
+        newest = now // self.bucket_width
+        for stamp in range(newest, newest - self.size, -1):
+            index = stamp % self.size
+            if self.stamps[index] == stamp:
+                largest = max(largest, since_bucket + self.tails[index])
+                since_bucket += self.sums[index]
+        return largest - sum(amount for _, amount in self.recent)
+
+    def enter_recent(self, now: int) -> None:
+        """Enters what the invocations allow that are older than `lag`."""
+        while self.recent and self.recent[0][0] <= now - self.lag:
+            at, amount = self.recent.popleft()
+            self.enter(at + self.lag, -amount)
+
+    def enter(self, now: int, amount: float) -> None:
+        stamp = now // self.bucket_width
+        index = stamp % self.size
+        if self.stamps[index] != stamp:
+            self.stamps[index], self.sums[index], self.tails[index] = stamp, 0.0, 0.0
+        self.sums[index] += amount
+        self.tails[index] = max(0.0, self.tails[index] + amount)
+
+
 def rank_test(canary: list[int], baseline: list[int]) -> tuple[float, float]:
     """Mann-Whitney's U on two histograms with the same buckets: the canary's U less its mean, and the variance of U.
 
@@ -375,6 +442,7 @@
         self.repeat = repeat
         self.shots: list[Shot] = []
         self.is_over = False
+        self.taken_at = 0
         self.cold_draw = 1.0  # uniform in [0, 1): a cold unit may get the invocation if it is under its share
         self.tier: int | None = None  # the tier of zones that was drawn, where there are tiers
         self.asked_shot = 0  # number, from 1, of the latest shot for which the load tracker was asked
@@ -401,6 +469,7 @@
         self.sent_at = now
         self.group = group
         self.warmth = warmth  # of the unit when the shot was sent
+        self.is_written = False  # as far as the host says so
         self.ended = self.never_ran = False
 
 
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -27,6 +27,7 @@
 from . import peer_messages
 from .host import Host
 from .parts import (
+    ArrivalBalance,
     ChainStage,
     ExposureSum,
     GrowthWindows,
@@ -613,13 +614,19 @@
 
     COLD_LOAD_FACTOR = 1.5  # times an even share of the work, for what a cold unit can do now
     MAX_WRITE_DELAY = SECOND * 3 // 20  # for which the process may be held up between a decision and the write
+    PROMPT_TIME = SECOND // 20  # after an invocation was taken: a shot written by then falls into the same windows
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
+        self.all_workloads = tuple(range(len(relay.workloads)))
         self.invocations = [SlidingSum(self.settings["exposure_span"], WINDOW_BUCKETS) for _ in relay.workloads]
         self.exposures = defaultdict(  # by build, for each workload
             lambda: [ExposureSum(ring.span, WINDOW_BUCKETS) for ring in self.invocations]
         )
+        span = self.settings["exposure_span"]
+        self.arrivals = defaultdict(  # by build, and by what counts together
+            lambda: defaultdict(lambda: ArrivalBalance(span, WINDOW_BUCKETS, self.PROMPT_TIME))
+        )
         self.warm_work = 0.0  # work sent to warm units so far, for a unit of weight 1
         self.answer_rate = 1.0  # moving average of the shots that ended without an error
 
@@ -658,16 +665,40 @@
         return True
 
     def may_still_send(self, shot: Shot) -> bool:
-        """Whether a shot that waited for its connection may be written now.
+        """Whether a shot that waited for its connection may be written now; if so, it counts as written.
 
         What may have changed since it was chosen is looked at again: whether anybody waits for the answer, the memory
-        of units, the list and the cap.
+        of units, the list, and the exposure.
         """
-        relay, unit, first = self.relay, shot.unit, shot.invocation.may_have_run()
+        unit, first = shot.unit, shot.invocation.may_have_run()
         is_repeat = shot.invocation.workload.effect == "stamped" and first is not shot
         if shot.invocation.is_over or (is_repeat and not self.is_within_memory(first)):
             return False
-        return self.is_listed(unit) and (not relay.on_trial(unit.build) or relay.cap(unit.build) > 0)
+        return self.is_listed(unit) and (not self.relay.on_trial(unit.build) or self.may_expose(shot))
+
+    def may_expose(self, shot: Shot) -> bool:
+        """Rule 5 at the write, since an attempt counts when it arrives; one that is not written counts no more."""
+        relay, invocation, build = self.relay, shot.invocation, shot.unit.build
+        if shot.is_written:
+            return relay.cap(build) > 0
+        shot.is_written = relay.cap(build) > 0 and (
+            self.is_prompt(invocation)
+            or (self.allowance(invocation, build) >= 0 and self.may_arrive(invocation, build))
+        )
+        if shot.is_written:
+            self.arrivals[build][self.counted(invocation.workload.index)].add_shot(relay.now)
+        else:
+            self.exposures[build][invocation.workload.index].remove(shot.sent_at)
+        return shot.is_written
+
+    def is_prompt(self, invocation: Invocation) -> bool:
+        """Whether a shot that is written now falls into the same windows as its invocation."""
+        return self.relay.now - invocation.taken_at <= self.PROMPT_TIME
+
+    def may_arrive(self, invocation: Invocation, build: int) -> bool:
+        """Whether one more shot keeps to the cap in each window that ends now, also those without its invocation."""
+        balance = self.arrivals[build][self.counted(invocation.workload.index)]
+        return balance.excess(self.relay.now) + 1 <= max(1, self.settings["free_shots"])
 
     def may_send(self, invocation: Invocation) -> bool:
         """Rule 1: no invocation is lost, and nothing is sent for one that is over."""
@@ -739,16 +770,36 @@
             return True
         stage = relay.stage if unit.build == relay.build else 0
         is_guarded = stage < self.settings["guarded_stages"] and invocation.workload.effect != "harmless"
-        return not is_guarded and relay.cap(unit.build) > 0 and self.allowance(invocation, unit.build) >= 1
+        if is_guarded or relay.cap(unit.build) <= 0 or self.allowance(invocation, unit.build) < 1:
+            return False
+        return self.is_prompt(invocation) or self.may_arrive(invocation, unit.build)
+
+    def counted(self, workload: int) -> tuple[int, ...]:
+        """The indexes of the workloads whose invocations and shots count together with this one's."""
+        return (workload,) if self.settings["exposure_per"] == "class" else self.all_workloads
 
     def allowance(self, invocation: Invocation, build: int, part: float = 1.0) -> float:
         """How many shots may still go to the build, of `part` of the whole allowance."""
-        now, index = self.relay.now, invocation.workload.index
-        counted = slice(index, index + 1) if self.settings["exposure_per"] == "class" else slice(None)
-        shots = sum(ring.upper_bound(now) for ring in self.exposures[build][counted])
-        invocations = sum(ring.total(now) for ring in self.invocations[counted])
+        now, counted = self.relay.now, self.counted(invocation.workload.index)
+        shots = sum(self.exposures[build][each].upper_bound(now) for each in counted)
+        invocations = sum(self.invocations[each].total(now) for each in counted)
         return part * (self.settings["free_shots"] + self.relay.cap(build) * invocations) - shots
 
+    def count_invocation(self, workload: int) -> None:
+        """Counts an invocation that is taken now, and what it allows of shots at each build on trial."""
+        now = self.relay.now
+        self.invocations[workload].add(now)
+        for build, exposures in self.exposures.items():
+            exposures[workload].add(now, -self.relay.cap(build))
+        for build, arrivals in self.arrivals.items():
+            arrivals[self.counted(workload)].allow(now, self.relay.cap(build))
+
+    def forget_builds_before(self, build: int) -> None:
+        """Drops what was counted of earlier builds: a relay outlives many of them."""
+        for counts in (self.exposures, self.arrivals):
+            for each in [each for each in counts if each < build]:
+                del counts[each]
+
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         """Records that the shot has ended, and whether it is proved that it did not run."""
         shot.ended, shot.never_ran = True, outcome in OUTCOMES_NOT_RUN
@@ -1090,6 +1141,12 @@
         grace = self.now < self.cap_lowered_at + self.settings["drain_grace"] and not self.rows[0]
         return self.settings["caps"][0] if build != self.build else max(self.stated_cap, grace * self.previous_cap)
 
+    def trial_units(self) -> list[int]:
+        """The numbers of the units on trial that may get shots, in the order in which this relay uses them."""
+        if self.phase != ON_TRIAL:
+            return []
+        return [unit.number for unit in self.rows[1] if self.cap(unit.build) > 0]
+
     def on_list(self, kind: str, entries: list[tuple]) -> None:
         """Takes the list of units: `kind` is changes, whole or old copy.
 
@@ -1117,11 +1174,9 @@
         self.mean_work += 0.01 * (work - self.mean_work) if self.mean_work else work
         size = work / self.mean_work if work else 1.0
         invocation = Invocation(number, self.workloads[workload], customer, deadline, size, repeat)
-        invocation.cold_draw = self.random.share()
+        invocation.taken_at, invocation.cold_draw = self.now, self.random.share()
         self.known[number] = invocation
-        self.gate.invocations[workload].add(self.now)
-        for build, exposures in self.gate.exposures.items():
-            exposures[workload].add(self.now, -self.cap(build))
+        self.gate.count_invocation(workload)
         self.intake.forward(invocation)
 
     def on_outcome(
@@ -1205,8 +1260,7 @@
         if build != earlier[0]:
             self.trial.new_build(build)
             self.judge.new_build()
-            for each in [each for each in self.gate.exposures if each < build]:
-                del self.gate.exposures[each]  # a relay outlives many builds
+            self.gate.forget_builds_before(build)
         if (build, stage, phase) != earlier:
             self.stage_since = self.now - age
             self.judge.new_stage()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """The five rules that the gate keeps, and the ways in which each was or could be broken."""
 
+import heapq
 import unittest
 
 from tealsail import policy
@@ -220,3 +221,65 @@
             story.serve()
             story.later(SECOND // 100)
         self.assertLessEqual(sum(unit != 0 for unit in story.sent()), 18)
+
+    def story_with_trial(self, cap: float = 0.42) -> RelayFixture:
+        """Twelve warm units, three of them with a build on trial in its second stage; `free_shots` is 1."""
+        story = RelayFixture(units=12)
+        story.relay.on_stage(2, 1, policy.ON_TRIAL, cap, 10 * SECOND)
+        story.update_list([story.unit(number, 1 + (number < 3)) for number in range(12)])
+        return story
+
+    def test_shots_that_waited_for_connections_are_not_all_written_after_their_requests_window(self) -> None:
+        """Guards against a burst whose shots at the build on trial arrive after it, in a window without a request."""
+        story = self.story_with_trial()
+        for _ in range(40):
+            number = story.take()
+            story.later(SECOND // 750)
+        chosen = [number for number in range(1, 41) if story.sent(number)[0] < 3]
+        self.assertGreater(len(chosen), 4)
+        story.later(23 * SECOND // 100)
+        written = [number for number in chosen if story.relay.may_still_send(number, 0)]
+        self.assertEqual(len(written), 1)
+        for number in set(chosen) - set(written):  # each goes to an earlier unit at once
+            story.report_outcome(number, "moot")
+            self.assertGreaterEqual(story.sent(number)[1], 3)
+
+    def test_late_retries_at_a_build_on_trial_need_requests_of_their_own_time(self) -> None:
+        """Guards against retries that use up what requests of a second ago allowed, when no others come."""
+        story = self.story_with_trial(cap=1.0)
+        for _ in range(30):
+            story.take()
+        old = [number for number in range(1, 31) if story.sent(number)[0] >= 3]
+        story.update_list([story.unit(number, 2) for number in range(3)])  # no earlier unit is left
+        story.later(SECOND)
+        written = 0
+        for number in old:
+            story.report_outcome(number, "unreachable")
+            written += len(story.sent(number)) > 1 and story.relay.may_still_send(number, 1)
+        self.assertEqual(written, 1)
+
+    def test_no_window_holds_more_written_shots_than_the_page_allows_however_long_each_waits(self) -> None:
+        """Bursts and pauses, and connections that take up to 0.25 s; 0.15 s, 2 shots and 4% pass on sockets."""
+        for seed in range(1, 9):
+            story, chance = self.story_with_trial(), RandomGenerator(seed)
+            taken, written, waiting = [], [], []
+            for count in range(400):
+                pause = 5 * SECOND // 2 if count % 40 == 39 else int(chance.share() ** 3 * SECOND // 100)
+                next_request = story.relay.now + pause
+                while waiting and waiting[0][0] <= next_request:
+                    story.relay.now, number = heapq.heappop(waiting)
+                    is_written = story.relay.may_still_send(number, 0)
+                    written += [story.relay.now] * is_written
+                    story.report_outcome(number, "served" if is_written else "moot")
+                story.relay.now = next_request
+                number = story.take()
+                taken.append(story.relay.now)
+                if story.sent(number) and story.sent(number)[0] < 3:
+                    heapq.heappush(waiting, (story.relay.now + int(chance.share() * SECOND // 4), number))
+                elif story.sent(number):
+                    story.report_outcome(number, "served")
+            self.assertGreater(len(written), 20)
+            for begin in written:
+                shots = sum(begin <= at < begin + 2 * SECOND for at in written)
+                requests = sum(begin - HELD_UP <= at < begin + 2 * SECOND for at in taken)
+                self.assertLessEqual(shots, 1 + 1.04 * 0.42 * requests + 2)
