End a new process's old list with the drain's grace, unless other relays confirm it

Cause: the old copy had no end. After 0.25 s clients were served by it, and nothing asked whether a list had ever come. Its other face: a silent agent was asked again up to 3.8 s later, though what it gets at the return counts at once.

Meanwhile other relays that have had a list are asked which part of it agrees with theirs, and those units go on. Where lists are pushed, the agent is asked again within half of the grace. The hold of clients moved out of net/relay.py.

Failed on the way: with settings that name no drainGrace the old copy ended at once, and a test of the client connections waited without end; such settings have no rule on drains, so there the copy stays.

--- a/tealsail/__main__.py
+++ b/tealsail/__main__.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from .command import process_start  # noqa: F401 - first of all, since it takes the time
 from .command.process_memory import give_back_freed_memory, leave_out_unused_modules
 from .command.signals import SIGNALS
 
--- a/tealsail/choices/backoff.py
+++ b/tealsail/choices/backoff.py
@@ -14,6 +14,8 @@
 DEFAULT_ASK_WITHIN_S = 10.0  # time within which a relay has to ask for the list, where the platform does not say
 ASK_WITHIN_PART = 0.4  # of that time: the bound on a relay's mean delay
 FIRST_LIST_WAIT_S = 0.25  # a relay that starts accepts no clients for so long while the list it asked for is on its way
+AGENT_RETRY_PART = 0.25  # of the drain's grace: longest mean delay before a relay asks the agent of its machine again
+MIN_AGENT_RETRY_S = 0.05  # the same at the least
 MIN_JITTER = 0.1  # shortest delay, as a part of the mean delay
 JITTER_WIDTH = 1.8  # from the shortest to the longest delay, in mean delays
 
@@ -46,6 +48,18 @@
         self.mean = self.first
 
 
+def agent_backoff(chance: RandomGenerator, is_pushed: bool, drain_grace: float) -> Backoff:
+    """The backoff after a connection to discovery has ended or was silent.
+
+    Where lists are pushed, discovery's agent is on the relay's own machine, and what it gets counts as known to the
+    relay at once.  A draining unit may get shots for `drain_grace` seconds: the relay asks again within half of it.
+    """
+    if not is_pushed or not drain_grace:
+        return Backoff(chance)
+    longest = min(MAX_RETRY_S, max(MIN_AGENT_RETRY_S, AGENT_RETRY_PART * drain_grace))
+    return Backoff(chance, min(FIRST_RETRY_S, longest), longest)
+
+
 def fleet_backoff(chance: RandomGenerator, relays: int, within: float) -> Backoff:
     """The backoff after a refusal because the fleet asks too often.
 
--- a/tealsail/command/serve.py
+++ b/tealsail/command/serve.py
@@ -4,7 +4,7 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from loguru import logger
@@ -18,6 +18,7 @@
 from ..net.relay import Relay
 from ..net.relay_configuration import ConfigurationError, UnreadableConfiguration, read, reread
 from .process_memory import keep_from_collector
+from .process_start import PROCESS_STARTED_S, steady_clock
 from .signals import SIGNALS
 
 
@@ -99,19 +100,6 @@
         raise ConfigurationError(f"{path}: {problem}" if path not in str(problem) else str(problem)) from None
 
 
-def steady_clock() -> Callable[[], float]:
-    """Returns a clock in seconds that never steps.
-
-    Where the system has CLOCK_BOOTTIME it is that one, which goes on while the machine is suspended.
-    """
-    try:
-        boot_clock = time.CLOCK_BOOTTIME
-        time.clock_gettime(boot_clock)
-    except (AttributeError, OSError):
-        return time.monotonic
-    return lambda: time.clock_gettime(boot_clock)
-
-
 def serve(configuration: Any, document: Any = None) -> int:
     """Runs one relay until SIGTERM or SIGINT; SIGUSR1 logs the counters, SIGHUP reads the configuration file again.
 
@@ -131,7 +119,7 @@
             relay.stop().addCallback(lambda _: reactor.stop())
 
     try:
-        relay = Relay(reactor, configuration, Counters(), document, time.time, resident_bytes)
+        relay = Relay(reactor, configuration, Counters(), document, time.time, resident_bytes, PROCESS_STARTED_S)
         # Set before the relay accepts clients, so that it ends in an orderly way from then on.
         handlers = {
             signal.SIGHUP: ConfigurationReloader(reactor, relay).start,
--- a/tealsail/facade.py
+++ b/tealsail/facade.py
@@ -110,7 +110,13 @@
     age: int
 
 
-Event = Outcome | ClientLeft | Units | RolloutState | VoteAnswered | PeerMessageReceived | WrongAnswer
+class ConfirmedUnits(NamedTuple):
+    """The units of an old copy that may still get shots; the others wait for the next list."""
+
+    numbers: frozenset[int]
+
+
+Event = Outcome | ClientLeft | Units | ConfirmedUnits | RolloutState | VoteAnswered | PeerMessageReceived | WrongAnswer
 
 
 class Vote(NamedTuple):
@@ -221,6 +227,8 @@
                 return self.call_module(None, relay.on_abandoned, number)
             case Units(kind, entries):
                 return self.call_module(None, relay.on_list, kind, entries)
+            case ConfirmedUnits(numbers):
+                return self.call_module(None, relay.restrict_units, numbers)
             case RolloutState(build, stage, phase, cap, age):
                 return self.call_module(None, relay.on_stage, build, stage, PHASES.index(phase), cap, age)
             case VoteAnswered(answer):
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 
 from .. import settings
-from ..choices.backoff import DEFAULT_ASK_WITHIN_S, Backoff, fleet_backoff, initial_request_delay
+from ..choices.backoff import DEFAULT_ASK_WITHIN_S, Backoff, agent_backoff, fleet_backoff, initial_request_delay
 from ..choices.clock import Clock, StartTimes, discard_evidence
 from ..choices.connection_lifetimes import accept_delay
 from ..choices.live_settings import LiveSettings, RestartNeeded
@@ -45,6 +45,7 @@
 from .connections import cancel
 from .counters import Counters
 from .discovery import Discovery, Entry, ListUpdate, unit_number
+from .first_list import FirstList
 from .kernel import limit_accepts, set_accepting_paused
 from .peers import Peers, parse_address
 from .platform import Platform, PlatformState
@@ -200,7 +201,8 @@
     Programs that embed it hand in their own reactor, and the operator's document if there is one
     (tealsail/setup/document.py).  `wall` gives Unix time in seconds where the reactor's clock is a steady one; without
     it the reactor's clock is taken for both.  `read_memory` gives the bytes of memory that the process uses, where the
-    relay has the process to itself.  Raises OSError if a record can't be opened.
+    relay has the process to itself.  `process_started` is when the process began, in seconds of the reactor's clock; by
+    default now.  Raises OSError if a record can't be opened.
     """
 
     def __init__(
@@ -211,9 +213,12 @@
         document: Any = None,
         wall: Callable[[], float] | None = None,
         read_memory: Callable[[], int] | None = None,
+        process_started: float | None = None,
     ) -> None:
         self.reactor, self.configuration, self.counters = reactor, configuration, counters or Counters()
         self.clock, self.tick_at = Clock(reactor.seconds, wall or reactor.seconds, self.on_gap), 0
+        process_age = 0.0 if process_started is None else max(0.0, reactor.seconds() - process_started)
+        self.first_list = FirstList(self, self.clock() - int(process_age * TENTHS_PER_SECOND))
         self.start_times = StartTimes(self.clock)
         relay_settings = configuration.relay_settings
         self.facade = Facade(
@@ -245,13 +250,14 @@
             relay_settings.get("ask_within", DEFAULT_ASK_WITHIN_S * TENTHS_PER_SECOND) / TENTHS_PER_SECOND,
         )
         self.jitter = jitter  # spreads what all relays do at once; not the decision module's own generator
+        is_pushed = relay_settings.get("list_mode") != "on_request"
         self.discovery = Discovery(
             reactor,
             configuration.discovery,
             LIST_PATH,
             self.counters,
             self.listed,
-            Backoff(jitter),
+            agent_backoff(jitter, is_pushed, self.facade.relay.settings["drain_grace"] / TENTHS_PER_SECOND),
             fleet_backoff(jitter, *self.fleet_pacing),
             self.memory_shares.list_bytes,
         )
@@ -278,7 +284,6 @@
         self.open_ids: set[bytes] = set()  # the clients' ids of the invocations in `serving`
         self.recent_ids = RecentIds(len(self.facade.workloads))
         self.client_listener: Any = None
-        self.hold_timer: Any = None  # of a client listener that is held until the list has come
         self.peer_listener: Any = None
         self.timer: Any = None  # of the next tick
         self.open_ahead_timer: Any = None  # of the opening of connections to units on trial
@@ -334,10 +339,9 @@
             self.configuration.relay_settings.get("list_mode") == "on_request",
             bool(known.entries),
         )
-        hold_time = accept_delay(delay)
-        if hold_time is not None:
-            self.hold_timer = self.reactor.callLater(hold_time, self.accept_clients)
-            set_accepting_paused(self.client_listener, True)
+        hold_s = accept_delay(delay)
+        if hold_s is not None:
+            self.first_list.start(hold_s)
         if delay is None:
             self.discovery.start()
         else:
@@ -345,14 +349,11 @@
 
     def accept_clients(self) -> None:
         """Accept clients from now on if they were held in the kernel."""
-        if self.hold_timer:
-            cancel(self.hold_timer)
-            self.hold_timer = None
-            set_accepting_paused(self.client_listener, False)
+        self.first_list.accept_clients()
 
     def resume_accepting(self) -> None:
         """There is room for a client; but clients may be held for the list."""
-        if not self.hold_timer:
+        if not self.first_list.is_holding():
             set_accepting_paused(self.client_listener, False)
 
     def check_clocks(self) -> None:
@@ -473,7 +474,7 @@
             self.record.units_listed(entries)
         self.facade.report(Listing(kind, [self.listed_unit(entry) for entry in entries]))
         if kind != "old copy":
-            self.accept_clients()
+            self.first_list.list_changed()
         self.schedule_open_ahead()
         self.schedule_tick()
 
@@ -516,7 +517,8 @@
 
     def on_peer_message(self, number: int, data: bytes) -> None:
         """`number`: the index of the relay that sent it."""
-        self.facade.report(PeerMessageReceived(number, data))
+        if not self.first_list.take_message(number, data):
+            self.facade.report(PeerMessageReceived(number, data))
         self.schedule_tick()
 
     def schedule_tick(self) -> None:
@@ -578,6 +580,7 @@
         self.platform.stop()
         self.clock_check_timer.cancel()
         cancel(self.open_ahead_timer)
+        self.first_list.stop()
         if self.memory:
             self.memory.stop()
         if self.record:
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -1076,6 +1076,7 @@
             Workload(at, CELLS_PER_WORKLOAD, DEFAULTS | each) for at, each in enumerate(self.settings["workloads"])
         ]
         self.units: dict[int, Unit] = {}  # those that are open
+        self.withheld: dict[int, Unit] = {}  # units of an old copy that get no shots before the next list
         self.draining: set[int] = set()  # units whose successors may share their machines
         self.rows: tuple[list[Unit], ...] = ([], [])  # of earlier builds, and of those on trial
         self.known: dict[int, Invocation] = {}  # those that are not over, or have open shots
@@ -1152,18 +1153,26 @@
 
         An entry is (number, build, state, zone, cell, weight, started), `state` being open, draining or gone.
         """
-        kept = self.units if kind == "changes" else {}
+        known = self.units | self.withheld
+        kept = known if kind == "changes" else {}
         # Too many draining units are some of which nobody ever said that they are gone.
         if kind != "changes" or len(self.draining) > 1000 + 2 * len(self.units):
             self.draining = set()
         for number, build, state, zone, cell, weight, started in entries:
-            unit = self.units.get(number)
+            unit = known.get(number)
             if unit is None or unit.build != build or unit.started < started:
                 unit = Unit(number, build, started, self.gate.warm_work, stable_hash(self.index, number))
             unit.weight, unit.open, unit.zone, unit.cell = max(weight, 0.01), state == "open", zone, cell
             kept[number] = unit
             (self.draining.add if state == "draining" else self.draining.discard)(number)
-        self.units = {number: unit for number, unit in kept.items() if unit.open}
+        self.units, self.withheld = {number: unit for number, unit in kept.items() if unit.open}, {}
+        self.arrange()
+
+    def restrict_units(self, numbers: frozenset[int]) -> None:
+        """Withholds shots from all units of an old copy but these, up to the next list."""
+        known = self.units | self.withheld
+        self.units = {number: unit for number, unit in known.items() if number in numbers}
+        self.withheld = {number: unit for number, unit in known.items() if number not in numbers}
         self.arrange()
 
     def on_invocation(
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -132,6 +132,12 @@
         self.receive_until(unit_end, b"*/\0")
         return unit_end
 
+    def agent(self) -> socket.socket:
+        """The agent's end of a new connection, after a request has come over it."""
+        agent = self.accept(self.agent_side)
+        self.receive_until(agent, b"\r\n\r\n")
+        return agent
+
     def receive_until(self, sock: socket.socket, last: bytes) -> bytes:
         """Receive up to these bytes, or up to the close."""
         seen = b""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -438,11 +438,6 @@
 class AtTheList(Crossing):
     """What crosses a request for the list."""
 
-    def agent(self) -> socket.socket:
-        agent = self.accept(self.agent_side)
-        self.receive_until(agent, b"\r\n\r\n")
-        return agent
-
     def test_silent_watch_is_replaced_before_missed_changes_count_as_known(self) -> None:
         """Guards against shots at a unit whose drain is missed by a watch that never answers: it counts as known 2 s
         after the watch's wait."""
