Hollow relays: open nothing ahead, and leave questions about old lists to real relays

Change: it opens nothing; a hollow relay ignores questions about old lists, since it keeps no identities of backends and its answers would deny what real relays list.

--- a/tealsail/lab/scale/hollow_relay.py
+++ b/tealsail/lab/scale/hollow_relay.py
@@ -11,6 +11,7 @@
 
 from twisted.internet.defer import Deferred
 
+from ...choices.old_copy import is_question
 from ...net import messages, statements
 from ...net.discovery import ListUpdate
 from ...net.platform import PlatformState
@@ -164,9 +165,14 @@
 class HollowBackends:
     """In place of the relay's table of connections (net.units.Units)."""
 
+    max_connections = 0
+
     def __init__(self, relay: "HollowRelay") -> None:
         self.relay = relay
 
+    def open_ahead(self, counts: dict[int, int]) -> None:
+        """No connection is kept."""
+
     def listed(self, number: int, address: str, build: int, started: int) -> None:
         """No connection is kept."""
 
@@ -209,6 +215,11 @@
     def start_discovery(self) -> None:
         """Nothing to do: the process gets the list for all its relays."""
 
+    def on_peer_message(self, number: int, data: bytes) -> None:
+        """Leaves questions about old lists to real relays, since it keeps no identities of backends."""
+        if not is_question(data):
+            super().on_peer_message(number, data)
+
     def take(self, statement: statements.Statement, at: int) -> Deferred:
         return self.meter.run("serving", super().take, statement, at)
 
