Split connections, shots and open invocations into modules of their own

Cause: net/units.py held one connection, one shot and all pools in 533 lines, and net/relay.py the open invocation beside the relay.

Change: net/unit_connection.py, net/shots.py and net/invocation.py; no line of the moved classes differs.

--- a/tealsail/lab/capacity/causes.py
+++ b/tealsail/lab/capacity/causes.py
@@ -53,7 +53,7 @@
 COUNT_TENANTS = Cause("policy", "Admission.__init__", "self.by_customer =")
 ADD_COUNTS = Cause("peer_messages", "CountPool.add", "for cell, count in zip")
 COMPARE_SENDERS = Cause("parts", "is_uncorroborated", "min(most, many)")
-SEND_SHOT = Cause("net.relay", "ActiveInvocation.shoot", "relay.units.shoot(")
+SEND_SHOT = Cause("net.invocation", "ActiveInvocation.shoot", "relay.units.shoot(")
 REPORT_SHOT = Cause("policy", "LoadTracking.report_shot", "self.send(tracker_index")
 RECEIVE_MESSAGE = Cause("net.relay", "Relay.on_peer_message", "self.schedule_tick()")
 DROP_LOADS = Cause("policy", "Relay.on_wake", "self.load_tracking.loads = drop_stale_senders(")
--- a/tealsail/lab/capacity/sizing.py
+++ b/tealsail/lab/capacity/sizing.py
@@ -422,7 +422,7 @@
             None,
             "not measured",
             "half of the descriptors, one a connection",
-            Place("net.relay", "ActiveInvocation.remove_if_done"),
+            Place("net.invocation", "ActiveInvocation.remove_if_done"),
         ),
         State(
             Role.RELAY,
--- a/tealsail/lab/scale/hollow_process.py
+++ b/tealsail/lab/scale/hollow_process.py
@@ -17,10 +17,10 @@
 from ...net import statements
 from ...net.answers import Rejected
 from ...net.discovery import Entry as RelayEntry, ListUpdate
+from ...net.messages import Value
 from ...net.platform import PlatformState
 from ...net.relay import unit_number
 from ...net.relay_configuration import RelayConfiguration
-from ...net.units import Value
 from ...parts import stable_hash
 from ...record.files import Writer
 from ...record.lines import VERSION, EntryReceived, Head, InvocationEnded, StageReceived
--- a/tealsail/lab/scale/hollow_relay.py
+++ b/tealsail/lab/scale/hollow_relay.py
@@ -17,7 +17,7 @@
 from ...net.platform import PlatformState
 from ...net.relay import Relay
 from ...net.relay_configuration import RelayConfiguration
-from ...net.units import ShotResult
+from ...net.unit_connection import ShotResult
 from .backends import Backends, Load
 from .meter import Meter, MeteredPeers
 
@@ -105,7 +105,7 @@
 
 
 class HollowAttempt:
-    """One attempt at a backend, with the interface of `net.units.Shot`: `done` fires once, with a ShotResult."""
+    """One attempt at a backend, with the interface of `net.shots.Shot`: `done` fires once, with a ShotResult."""
 
     def __init__(
         self, relay: "HollowRelay", backend: str, text: Callable[[], bytes], wait: float, stands: Callable[[], bool]
--- /dev/null
+++ b/tealsail/net/invocation.py
@@ -0,0 +1,149 @@
+"""One invocation that a relay has taken, from its query to its answer."""
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from ..choices.clock import TENTHS_PER_SECOND
+from ..choices.memory_budget import request_cost
+from ..choices.recent_ids import must_be_remembered
+from ..facade import ClientLeft, Forfeit, Outcome, Reject, SendShot, Step
+from ..policy import OUTCOMES_NOT_RUN
+from .answers import Answer, Forfeited, Rejected
+from .shots import Shot
+from .statements import Statement, text_for_unit
+from .unit_connection import ShotResult
+
+if TYPE_CHECKING:
+    from .relay import Relay
+
+
+class ActiveInvocation:
+    """One invocation from its query to its answer: sends the shots that the facade asks for and reports outcomes."""
+
+    def __init__(self, relay: "Relay", statement: Statement, at: int) -> None:
+        """`at`: when the query came, by the relay's clock."""
+        self.relay, self.statement = relay, statement
+        self.answer: Deferred[Answer] = Deferred(self.on_client_left)
+        self.is_over = False  # answered, or the client has left
+        self.cost = request_cost(len(statement.text_before_wait) + len(statement.text_after_wait) + len(statement.key))
+        relay.requests.add(self.cost)
+        self.shots: dict[int, Shot] = {}  # those without an outcome, by shot number
+        self.may_have_run = self.has_client_left = False  # `may_have_run`: one of its shots
+        self.number, step = relay.facade.pick(
+            statement.workload,
+            statement.customer,
+            statement.key,
+            relay.deadline(statement, at),
+            repeat=statement.repeat,
+        )
+        relay.serving[self.number] = self
+        relay.open_ids.add(statement.id)
+        if relay.record:
+            relay.record.invocation_taken(self.number, statement, at)
+        self.execute_safely(step)
+
+    def execute_safely(self, step: Step) -> None:
+        """Like `execute`, but an exception forfeits this invocation and goes no further."""
+        try:
+            self.execute(step)
+        except Exception:
+            self.relay.log_fault(Failure())
+            self.finish(Forfeited())
+            self.remove_if_done()
+
+    def execute(self, step: Step) -> None:
+        match step:
+            case SendShot(_, shot_number, _) if self.is_over:
+                self.relay.facade.report(Outcome(self.number, shot_number, "moot"))
+            case SendShot(unit, shot_number, wait):
+                self.shoot(unit, shot_number, wait)
+            case Reject(retry_after):
+                self.finish(Rejected(retry_after))
+            case Forfeit():
+                self.finish(Forfeited())
+        self.remove_if_done()
+
+    def shoot(self, unit: int, shot_number: int, wait: int) -> None:
+        """Send the statement to a unit and wait for the outcome, at most `wait` tenths of a millisecond."""
+        relay, until = self.relay, self.relay.clock() + wait
+        relay.counters.add("units.shots")
+        logger.debug("request {} shot {} to unit {} for {} tenths", self.statement.id, shot_number, unit, wait)
+        shot = relay.units.shoot(
+            unit,
+            lambda: text_for_unit(self.statement, max(1, -(-(until - relay.clock()) // 10))),
+            wait / TENTHS_PER_SECOND,
+            lambda: relay.facade.may_still_send(self.number, shot_number),
+        )
+        if shot is None:
+            self.on_outcome(ShotResult("moot"), shot_number)
+            return
+        self.shots[shot_number] = shot
+        if relay.record:
+            relay.record.shot_sent(self.number, shot_number, unit, wait)
+        shot.done.addCallback(self.on_outcome, shot_number)
+        shot.done.addErrback(relay.log_fault)
+
+    def on_outcome(self, result: ShotResult, shot_number: int) -> None:
+        """Report a shot's outcome; a served one answers the client before the next step."""
+        self.shots.pop(shot_number, None)
+        self.relay.counters.add(f"units.{result.outcome}")
+        logger.debug("request {} shot {} ended: {}", self.statement.id, shot_number, result.outcome)
+        self.may_have_run |= result.outcome not in OUTCOMES_NOT_RUN
+        fields = self.relay.load_fields
+        load = {name: figure for name, figure in (result.load or {}).items() if name in fields}
+        if self.relay.record:
+            self.relay.record.shot_ended(self.number, shot_number, result.outcome)
+        step = self.relay.facade.report(Outcome(self.number, shot_number, result.outcome, load or None))
+        if result.outcome == "served" and result.value:
+            self.finish(result.value)
+        self.execute(step)
+        self.relay.schedule_tick()
+
+    def finish(self, answer: Answer) -> None:
+        """Answer the client, unless it has its answer or has left."""
+        if not self.is_over:
+            self.is_over = True
+            logger.debug("request {} answered: {}", self.statement.id, type(answer).__name__)
+            if self.relay.record:
+                self.relay.record.invocation_ended(self.number, answer)
+            self.answer.callback(answer)
+
+    def cancel_shot(self, shot_number: int) -> None:
+        if shot_number in self.shots:
+            self.shots[shot_number].stop("cancelled")
+
+    def on_client_left(self, answer: Deferred) -> None:
+        self.is_over = self.has_client_left = True
+        logger.debug("request {}: its client has left", self.statement.id)
+        if self.relay.record:
+            self.relay.record.invocation_ended(self.number, None)
+        self.abandon_shots()
+
+    def forfeit(self) -> None:
+        """Answer the client at once, whatever a shot that is out may still bring."""
+        if not self.is_over:
+            self.finish(Forfeited())
+            self.abandon_shots()
+
+    def abandon_shots(self) -> None:
+        """Tell the facade that nobody waits for an outcome any more, and call off what it wants called off.
+
+        An attempt of which a part is still unwritten has not begun: it is stopped also where none may be called off.
+        """
+        self.relay.facade.report(ClientLeft(self.number))
+        for shot in list(self.shots.values()):
+            shot.stop_unwritten()
+        self.relay.on_tick()
+        self.remove_if_done()
+
+    def remove_if_done(self) -> None:
+        """Remove it from the relay's tables once it is over and no shot is out."""
+        if self.is_over and not self.shots and self.relay.serving.pop(self.number, None):
+            self.relay.requests.remove(self.cost)
+            self.relay.open_ids.discard(self.statement.id)
+            effect = self.relay.facade.effect(self.statement.workload)
+            if must_be_remembered(effect, self.may_have_run, self.has_client_left):
+                self.relay.recent_ids.add(self.statement.id, self.statement.workload)
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -6,7 +6,7 @@
 
 from tealsail.choices.connection_lifetimes import ANSWER_REST_S
 from tealsail.choices.memory_budget import ByteBudget, answer_cost
-from tealsail.net import messages, units
+from tealsail.net import messages, unit_connection, units
 from tealsail.net.counters import Counters
 
 from .fake import READY, ROW, STARTUP, STARTUP_RESPONSE, MemoryTransport, Reactor, error_response, message
@@ -22,7 +22,7 @@
         self.units.listed(1, "127.0.0.9:7001", 5, 0)
         self.may_still_send = True
 
-    def shoot(self, number: int = 1, wait: float = 1.0) -> list[units.ShotResult]:
+    def shoot(self, number: int = 1, wait: float = 1.0) -> list[unit_connection.ShotResult]:
         self.reactor.advance(ANSWER_REST_S)  # a connection that has just answered is not reused at once
         shot = self.units.shoot(number, lambda: b"text", wait, lambda: self.may_still_send)
         self.shot, results = shot, []
