--- /dev/null
+++ b/tealsail/choices/query_ends.py
@@ -0,0 +1,18 @@
+"""How much of a query's end is held back from a unit, and when it is checked again whether the unit has room for it."""
+
+from ..time_limits import MAX_HOLD_UP, TENTHS_PER_SECOND
+
+MAX_HELD_BYTES = 1_000  # of a query's end; under the smallest receive window that a Linux socket has
+MIN_ROOM_CHECK_S = 0.001  # shortest time between checks
+MAX_ROOM_CHECK_S = 0.05  # longest time between checks
+ROOM_CHECK_PART = 0.25  # of the time waited so far, until the next check
+
+
+def may_tell(told_s: float) -> bool:
+    """Whether a query may still tell its unit the time to wait that was left so many seconds ago."""
+    return told_s * TENTHS_PER_SECOND <= MAX_HOLD_UP
+
+
+def room_check_delay(waited_s: float) -> float:
+    """Seconds until it is checked again whether a unit has room, after a wait of so many seconds."""
+    return min(MAX_ROOM_CHECK_S, max(MIN_ROOM_CHECK_S, ROOM_CHECK_PART * waited_s))
--- a/tealsail/facade.py
+++ b/tealsail/facade.py
@@ -45,7 +45,8 @@
 class Outcome(NamedTuple):
     """How shot `shot_number` of invocation `number` ended, and what the unit reported of its load (util, queue).
 
-    Outcomes are served, error, full, timeout, unreachable, reset, cancelled and moot.
+    Outcomes are served, error, full, timeout, unreachable, reset, cancelled, withheld (its last byte was not sent,
+    since the unit's machine had no room for it) and moot.
     """
 
     number: int
@@ -251,8 +252,17 @@
         """When to call `tick` next: at once if something waits to be fetched."""
         return self.clock() if any(self.actions) else self.wake_ups[0][0] if self.wake_ups else 1 << 62
 
+    def why_stop(self, number: int, shot_number: int, waited: int) -> str | None:
+        """The outcome with which a shot ends whose last byte has not been sent; None: it may go on waiting.
+
+        `waited` is the time since its connection was ready.
+        """
+        reasons: list[str | None] = ["moot"]  # where the module fails
+        self.call_module(None, lambda: reasons.append(self.relay.why_stop(number, shot_number, waited)))
+        return reasons[-1]
+
     def may_still_send(self, number: int, shot_number: int) -> bool:
-        """Whether a shot that has not been written yet may still be sent as chosen."""
+        """Whether the last byte of a shot may be sent now; if so, the shot counts as sent."""
         return bool(self.call_module(None, self.check_may_still_send, number, shot_number))
 
     def check_may_still_send(self, number: int, shot_number: int) -> None:
--- a/tealsail/lab/scale/hollow_relay.py
+++ b/tealsail/lab/scale/hollow_relay.py
@@ -17,6 +17,7 @@
 from ...net.platform import PlatformState
 from ...net.relay import Relay
 from ...net.relay_configuration import RelayConfiguration
+from ...net.shots import ShotOwner
 from ...net.unit_connection import ShotResult
 from .backends import Backends, Load
 from .meter import Meter, MeteredPeers
@@ -107,12 +108,10 @@
 class HollowAttempt:
     """One attempt at a backend, with the interface of `net.shots.Shot`: `done` fires once, with a ShotResult."""
 
-    def __init__(
-        self, relay: "HollowRelay", backend: str, text: Callable[[], bytes], wait: float, stands: Callable[[], bool]
-    ) -> None:
-        """`text` gives the statement to send, `wait` the seconds to wait for an answer; `stands` is asked whether the
-        attempt is still wanted when it reaches the backend."""
-        self.owner, self.backend, self.text, self.stands = relay, backend, text, stands
+    def __init__(self, relay: "HollowRelay", backend: str, shot: ShotOwner, wait: float) -> None:
+        """`shot` gives the query, and is asked whether it may be sent when it reaches the backend; `wait` is the
+        seconds to wait for an answer."""
+        self.owner, self.backend, self.shot = relay, backend, shot
         self.relay, self.number, self.index = relay.index, -1, 0
         self.done: Deferred[ShotResult] = Deferred()
         self.is_over = self.is_at_backend = False
@@ -123,10 +122,10 @@
         """Its bytes have come to the backend."""
         if self.is_over:
             return
-        if not self.stands():
+        if not self.shot.may_send():
             return self.end("moot")
         backends = self.owner.services.backends
-        statement = statements.read(self.text())
+        statement = statements.read(self.shot.query().text())
         self.number = int(statement.id)
         self.index = backends.next_index(self.number)
         request_class = self.owner.facade.workloads[statement.workload]
@@ -185,13 +184,11 @@
     def close_idle(self) -> None:
         """No connection is kept."""
 
-    def shoot(
-        self, number: int, text: Callable[[], bytes], wait: float, stands: Callable[[], bool]
-    ) -> HollowAttempt | None:
+    def shoot(self, number: int, shot: ShotOwner, wait: float) -> HollowAttempt | None:
         """Begin an attempt; None if that backend is not listed (any more)."""
         if number not in self.relay.facade.relay.units:
             return None
-        return HollowAttempt(self.relay, self.relay.services.backend_names[number], text, wait, stands)
+        return HollowAttempt(self.relay, self.relay.services.backend_names[number], shot, wait)
 
 
 class HollowRelay(Relay):
--- a/tealsail/net/invocation.py
+++ b/tealsail/net/invocation.py
@@ -13,7 +13,7 @@
 from ..policy import OUTCOMES_NOT_RUN
 from .answers import Answer, Forfeited, Rejected
 from .shots import Shot
-from .statements import Statement, text_for_unit
+from .statements import Statement, UnitQuery
 from .unit_connection import ShotResult
 
 if TYPE_CHECKING:
@@ -68,15 +68,10 @@
 
     def shoot(self, unit: int, shot_number: int, wait: int) -> None:
         """Send the statement to a unit and wait for the outcome, at most `wait` tenths of a millisecond."""
-        relay, until = self.relay, self.relay.clock() + wait
+        relay = self.relay
         relay.counters.add("units.shots")
         logger.debug("request {} shot {} to unit {} for {} tenths", self.statement.id, shot_number, unit, wait)
-        shot = relay.units.shoot(
-            unit,
-            lambda: text_for_unit(self.statement, max(1, -(-(until - relay.clock()) // 10))),
-            wait / TENTHS_PER_SECOND,
-            lambda: relay.facade.may_still_send(self.number, shot_number),
-        )
+        shot = relay.units.shoot(unit, InvocationShot(self, shot_number, wait), wait / TENTHS_PER_SECOND)
         if shot is None:
             self.on_outcome(ShotResult("moot"), shot_number)
             return
@@ -131,11 +126,11 @@
     def abandon_shots(self) -> None:
         """Tell the facade that nobody waits for an outcome any more, and call off what it wants called off.
 
-        An attempt of which a part is still unwritten has not begun: it is stopped also where none may be called off.
+        An attempt whose last byte is not sent has not begun: it is stopped also where none may be called off.
         """
         self.relay.facade.report(ClientLeft(self.number))
         for shot in list(self.shots.values()):
-            shot.stop_unwritten()
+            shot.stop_incomplete()
         self.relay.on_tick()
         self.remove_if_done()
 
@@ -147,3 +142,30 @@
             effect = self.relay.facade.effect(self.statement.workload)
             if must_be_remembered(effect, self.may_have_run, self.has_client_left):
                 self.relay.recent_ids.add(self.statement.id, self.statement.workload)
+
+
+class InvocationShot:
+    """One shot of an invocation, as its `ShotOwner`."""
+
+    def __init__(self, invocation: ActiveInvocation, shot_number: int, wait: int) -> None:
+        """`wait`: for how long the shot may last from now on, in tenths of a ms."""
+        self.invocation, self.shot_number = invocation, shot_number
+        self.relay = invocation.relay
+        self.until = self.relay.clock() + wait
+
+    def query(self) -> UnitQuery:
+        """The statement as a query."""
+        return UnitQuery(self.invocation.statement, self.wait_left)
+
+    def wait_left(self) -> int:
+        """For how long the shot may last from now on, in whole milliseconds, at least one."""
+        return max(1, -(-(self.until - self.relay.clock()) // 10))
+
+    def why_stop(self, waited_s: float) -> str | None:
+        """The outcome with which the shot ends if it may not wait any longer."""
+        waited = int(waited_s * TENTHS_PER_SECOND)
+        return self.relay.facade.why_stop(self.invocation.number, self.shot_number, waited)
+
+    def may_send(self) -> bool:
+        """Whether the shot may be sent now; if so, it counts as sent."""
+        return self.relay.facade.may_still_send(self.invocation.number, self.shot_number)
--- a/tealsail/net/messages.py
+++ b/tealsail/net/messages.py
@@ -317,9 +317,23 @@
     return struct.pack(">I", len(body) + 4) + body
 
 
+QUERY_END = b"\0"  # behind the text of a query
+LENGTH_BYTES = 4  # of a message's length, which counts itself
+
+
 def query(text: bytes) -> bytes:
     """A simple query."""
-    return message(b"Q", text + b"\0")
+    return message(b"Q", text + QUERY_END)
+
+
+def query_length(text_length: int) -> int:
+    """The length of the whole message of a simple query."""
+    return len(b"Q") + LENGTH_BYTES + text_length + len(QUERY_END)
+
+
+def query_head(length: int) -> bytes:
+    """What comes before the text of a simple query whose whole message has that length."""
+    return b"Q" + struct.pack(">I", length - len(b"Q"))
 
 
 def error_response(code: str, text: str, retry_after: int | None = None, fatal: bool = False) -> bytes:
--- /dev/null
+++ b/tealsail/net/query_writer.py
@@ -0,0 +1,152 @@
+"""Writes a query to a unit, and holds back its end until the rules allow the query at the moment in which it arrives.
+
+The rules count a query when its last byte has come to the unit.  What our kernel has taken may lie there for as long as
+the unit's process stands still, and leaves without asking this process, which may stand still as well.  So the last
+bytes are written only once the unit's machine has room for all that is left, and the rules are asked just before.
+"""
+
+from enum import Enum, auto
+from typing import Any, Protocol
+
+from ..choices.query_ends import MAX_HELD_BYTES, may_tell, room_check_delay
+from . import kernel
+from .connections import cancel
+from .statements import UnitQuery
+
+
+class QueryGate(Protocol):
+    """Decides over one query while it is written."""
+
+    def why_stop(self, waited_s: float) -> str | None:
+        """The outcome with which the query is given up after a wait of so many seconds; None: it may wait on."""
+
+    def may_send(self) -> bool:
+        """Whether the query may be sent now; if so, it counts as sent."""
+
+    def on_refused(self, outcome: str, has_begun: bool) -> None:
+        """The query will not be sent; `has_begun`: a part of it has been."""
+
+
+class Progress(Enum):
+    """How far a query is written."""
+
+    NOT_BEGUN = auto()
+    START_WRITTEN = auto()  # to the transport, which may still hold a part of it
+    END_HELD = auto()  # our kernel has all but the end
+    COMPLETE = auto()
+
+
+class QueryWriter:
+    """Writes one query; `advance` begins."""
+
+    __slots__ = (
+        "reactor",
+        "transport",
+        "query",
+        "gate",
+        "tells_room",
+        "progress",
+        "start",
+        "end",
+        "waits_since",
+        "told_at",
+        "timer",
+    )
+
+    def __init__(self, reactor: Any, transport: Any, query: UnitQuery, gate: QueryGate, tells_room: bool) -> None:
+        """`tells_room`: whether the kernel tells how much room the unit's machine has; else there is always room."""
+        self.reactor, self.transport, self.query, self.gate = reactor, transport, query, gate
+        self.tells_room = tells_room
+        self.progress = Progress.NOT_BEGUN
+        self.start = b""  # to be written when the transport asks for it
+        self.end: bytes | None = None  # what is left if it can't be made anew; None: `query.end` makes it
+        self.waits_since = self.told_at = reactor.seconds()  # `told_at`: when the time to wait in the message was made
+        self.timer: Any = None  # of the next check
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last byte has been sent; before that the unit can't have run the query."""
+        return self.progress == Progress.COMPLETE
+
+    def advance(self) -> None:
+        """Write all if the unit's machine has room for it, else all but the end; or check again later."""
+        cancel(self.timer)
+        waited = self.reactor.seconds() - self.waits_since
+        if self.progress != Progress.START_WRITTEN and self.has_room():
+            self.send_rest()
+        elif not self.is_up_to_date():
+            self.refuse("moot")
+        elif outcome := self.gate.why_stop(waited):
+            self.refuse(outcome)
+        elif self.progress != Progress.NOT_BEGUN:
+            self.check_later(room_check_delay(waited))
+        else:
+            self.write_start()
+
+    def rest(self) -> bytes:
+        """What is still to be written."""
+        if self.progress == Progress.NOT_BEGUN:
+            return self.query.start() + self.query.end()
+        return self.query.end() if self.end is None else self.end
+
+    def has_room(self) -> bool:
+        """Whether the unit's machine takes in at once all that is left."""
+        if not self.tells_room:
+            return True
+        room = kernel.peer_room(self.transport)
+        left = self.query.length if self.progress == Progress.NOT_BEGUN else len(self.rest())
+        return room is None or left <= room
+
+    def is_up_to_date(self) -> bool:
+        """Whether the time to wait that the message tells is made when it is sent, or a moment ago."""
+        return self.end is None or may_tell(self.reactor.seconds() - self.told_at)
+
+    def refuse(self, outcome: str) -> None:
+        """The query will not be sent."""
+        self.gate.on_refused(outcome, self.progress != Progress.NOT_BEGUN)
+
+    def send_rest(self) -> None:
+        """Ask the gate, and write all that is left in the same call."""
+        if not self.is_up_to_date() or not self.gate.may_send():
+            return self.refuse("moot")
+        rest = self.rest()
+        taken = kernel.write_now(self.transport, rest)
+        if taken == len(rest):
+            self.progress = Progress.COMPLETE
+        else:
+            self.hold(rest[taken:], taken)
+
+    def hold(self, rest: bytes, taken: int) -> None:
+        """Our kernel had no room for this part."""
+        if taken:
+            self.progress, self.end, self.told_at = Progress.END_HELD, rest, self.reactor.seconds()
+        self.check_later(room_check_delay(self.reactor.seconds() - self.waits_since))
+
+    def write_start(self) -> None:
+        """Write all but the end."""
+        self.progress = Progress.START_WRITTEN
+        self.start, end = self.query.start(), self.query.end()
+        if len(end) > MAX_HELD_BYTES:
+            self.start, self.end, self.told_at = self.start + end[:-1], end[-1:], self.reactor.seconds()
+        self.check_later(room_check_delay(0))
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Called when the transport holds nothing: at once, and when our kernel has all of the start."""
+        if self.start:
+            start, self.start = self.start, b""
+            self.transport.write(start)
+        else:
+            self.transport.unregisterProducer()
+            self.progress = Progress.END_HELD
+            self.advance()
+
+    def stopProducing(self) -> None:
+        """The connection has ended."""
+
+    def check_later(self, seconds: float) -> None:
+        self.timer = self.reactor.callLater(seconds, self.advance)
+
+    def stop(self) -> None:
+        """Check no more."""
+        cancel(self.timer)
--- a/tealsail/net/shots.py
+++ b/tealsail/net/shots.py
@@ -1,29 +1,40 @@
 """Shots: one attempt at a unit each, from the choice of a connection to the outcome."""
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from . import messages
+from ..policy import WITHHELD
+from .statements import UnitQuery
 from .unit_connection import Connection, ShotResult
 
 if TYPE_CHECKING:
     from .units import Pool
 
 
+class ShotOwner(Protocol):
+    """What a shot is for: gives its query, and decides whether it may still be sent."""
+
+    def query(self) -> UnitQuery:
+        """The query, with the time to wait from now on."""
+
+    def why_stop(self, waited_s: float) -> str | None:
+        """The outcome with which the shot ends that has waited for so many seconds; None: it may wait on."""
+
+    def may_send(self) -> bool:
+        """Whether the shot may be sent now; if so, it counts as sent."""
+
+
 class Shot:
     """One attempt at a unit; `done` fires once, with its ShotResult.
 
-    `text` gives the query at the moment in which it is sent.  `may_still_send` is asked just before: whether the choice
-    of this unit still holds after the wait for a connection or its probe.
+    Whether the choice of this unit still holds is asked again after the wait for a connection or its probe, and as the
+    last byte is to be sent (`QueryWriter`, whose gate this is).
     """
 
-    def __init__(
-        self, pool: "Pool", text: Callable[[], bytes], wait: float, may_still_send: Callable[[], bool]
-    ) -> None:
-        self.pool, self.text, self.may_still_send = pool, text, may_still_send
+    def __init__(self, pool: "Pool", owner: ShotOwner, wait: float) -> None:
+        self.pool, self.owner = pool, owner
         self.done: Deferred[ShotResult] = Deferred()
         self.connection: Connection | None = None
         self.opening: Deferred | None = None  # the new connection that it waits for
@@ -56,38 +67,52 @@
         self.cancel_probe_timer()
         if self.is_over:
             self.pool.release(connection)
-        elif self.pool.closed or not self.may_still_send():  # a closed pool: the unit may be at another address by now
-            self.pool.release(connection)
-            self.finish(ShotResult("moot"))
         else:
             self.connection = connection
-            self.send(connection)
+            connection.send_query(self, self.owner.query())
+
+    def why_stop(self, waited_s: float) -> str | None:
+        """The outcome with which the query is given up; None: it may be sent, now or later."""
+        return "moot" if self.pool.closed else self.owner.why_stop(waited_s)
+
+    def may_send(self) -> bool:
+        """Whether the query may be sent now; not to a closed pool, whose unit may be at another address by now."""
+        return not self.pool.closed and self.owner.may_send()
+
+    def on_refused(self, outcome: str, has_begun: bool) -> None:
+        """The query will not be sent: the shot ends, and its connection too if it has a part of the query."""
+        if self.is_over or self.connection.code:
+            return
+        connection, result = self.connection, ShotResult(outcome)
+        if has_begun:
+            connection.stop_result = result
+            return connection.end(WITHHELD)
+        self.connection = None
+        connection.drop_query()
+        self.finish(result)
 
     def on_connect_failed(self, reason: Failure) -> None:
         self.opening = None
         outcome = reason.getErrorMessage()
         self.finish(ShotResult(outcome if outcome in ("full", "unreachable") else "unreachable"))
 
-    def send(self, connection: Connection) -> None:
-        connection.send_query(self, messages.query(self.text()))
-
     def cancel_probe_timer(self) -> None:
         if self.probe_timer and self.probe_timer.active():
             self.probe_timer.cancel()
 
     def stop(self, outcome: str) -> None:
-        """Stop waiting, with this outcome if the query was written and `moot` if not."""
+        """Stop waiting, with this outcome if the query's last byte was sent and `moot` if not."""
         if self.is_over:
             return
         if not self.connection:
             return self.finish(ShotResult("moot"))
         # Delivered once the connection has ended: the next shot must not be sent while this one's connection is open.
-        self.connection.stop_result = ShotResult(outcome if self.connection.written else "moot")
+        self.connection.stop_result = ShotResult(outcome if self.connection.is_query_complete else "moot")
         self.connection.end(outcome)
 
-    def stop_unwritten(self) -> None:
-        """Stop a shot whose query is not wholly written; nothing of it runs."""
-        if not self.connection or not self.connection.written:
+    def stop_incomplete(self) -> None:
+        """Stop a shot whose query's last byte is not sent; nothing of it runs."""
+        if not self.connection or not self.connection.is_query_complete:
             self.stop("cancelled")
 
     def finish(self, result: ShotResult) -> None:
--- a/tealsail/net/statements.py
+++ b/tealsail/net/statements.py
@@ -1,8 +1,11 @@
 """SQL statements that clients send and units receive, with the fields in the comment at their end."""
 
 import re
+from collections.abc import Callable
 from typing import NamedTuple
 
+from .messages import QUERY_END, query_head, query_length
+
 # Possessive, since a pattern that may come back keeps some hundred bytes for each character of the literal.
 LITERAL = rb"'((?:[^']++|'')*+)'"
 SELECT = re.compile(rb"\s*SELECT\s+\w+\s+FROM\s+\w+\s+WHERE\s+\w+\s*=\s*" + LITERAL + rb"\s*", re.I)
@@ -28,7 +31,7 @@
 class Statement(NamedTuple):
     """A client's statement and the fields of its comment.
 
-    The text before and after the digits of the time to wait is passed on to the unit as it came.
+    The text before and after the digits of the time to wait is passed on to the unit as it came (`UnitQuery`).
     """
 
     text_before_wait: bytes
@@ -90,6 +93,30 @@
     return (end - start) % 2 == 0 and bool(HEX_VALUE.fullmatch(text, start, end))
 
 
-def text_for_unit(statement: Statement, wait: int) -> bytes:
-    """The statement as sent to a unit: only the time to wait, in milliseconds, is replaced."""
-    return statement.text_before_wait + b"%d" % wait + statement.text_after_wait
+class UnitQuery:
+    """A statement as the query message for a unit, in which only the time to wait is replaced.
+
+    It is made in two parts, since the second may be sent much later than the first and then tells a shorter time, in as
+    many digits.
+    """
+
+    __slots__ = "statement", "wait_left", "digits", "length"
+
+    def __init__(self, statement: Statement, wait_left: Callable[[], int]) -> None:
+        """`wait_left` gives the time to wait from now on, in whole milliseconds; it never grows."""
+        self.statement, self.wait_left = statement, wait_left
+        self.digits = len(b"%d" % wait_left())
+        text_length = len(statement.text_before_wait) + self.digits + len(statement.text_after_wait)
+        self.length = query_length(text_length)  # of the whole message, in bytes
+
+    def text(self) -> bytes:
+        """The text of the query alone."""
+        return self.statement.text_before_wait + self.end()[: -len(QUERY_END)]
+
+    def start(self) -> bytes:
+        """The message up to the time to wait."""
+        return query_head(self.length) + self.statement.text_before_wait
+
+    def end(self) -> bytes:
+        """The rest, with the time to wait from now on."""
+        return b"%0*d" % (self.digits, self.wait_left()) + self.statement.text_after_wait + QUERY_END
--- a/tealsail/net/unit_connection.py
+++ b/tealsail/net/unit_connection.py
@@ -11,7 +11,10 @@
 from ..choices.pipelining import READ_BYTES, read_size
 from . import messages
 from .connections import OutgoingConnection
+from .kernel import peer_room, write_now
 from .messages import Value
+from .query_writer import QueryWriter
+from .statements import UnitQuery
 
 if TYPE_CHECKING:
     from .shots import Shot
@@ -57,12 +60,12 @@
         "probing_shot",
         "is_set_up",
         "load_reported",
-        "written",
+        "writer",
+        "tells_room",
         "probe_answered",
         "setup_outcome",
         "description",
         "row",
-        "unsent",
         "result",
         "stop_result",
         "idle_since",
@@ -78,12 +81,13 @@
         self.shot: Shot | None = None  # the one that is on it
         self.probing_shot: Shot | None = None  # waits for the answer to the probe
         # Respectively: `ready` has fired, also with a failure; a load report has come since the query was sent; the
-        # whole query is written; the probe's answer has come, and only its ReadyForQuery is still due.
-        self.is_set_up = self.load_reported = self.written = self.probe_answered = False
+        # probe's answer has come, and only its ReadyForQuery is still due.
+        self.is_set_up = self.load_reported = self.probe_answered = False
+        self.writer: QueryWriter | None = None  # of the shot's query
+        self.tells_room = False  # whether the kernel tells how much the unit's machine takes in
         self.setup_outcome = ""  # of an error during the setup
         self.description: messages.RowDescription | None = None
         self.row: messages.DataRow | None = None
-        self.unsent = b""
         self.result: ShotResult | None = None  # delivered at ReadyForQuery, since the load report may come before that
         self.stop_result: ShotResult | None = None  # delivered at the connection's end, if the shot was stopped
         self.idle_since = 0.0
@@ -95,7 +99,13 @@
         self.transport.setTcpNoDelay(True)
         self.counters.add("units.connections")
         self.transport.bufferSize = READ_BYTES
-        self.transport.write(messages.startup(USER, DATABASE))
+        self.write(messages.startup(USER, DATABASE))
+
+    def write(self, data: bytes) -> None:
+        """Write a short message in this call, so that no query can overtake it."""
+        taken = write_now(self.transport, data)
+        if taken < len(data):
+            self.transport.write(data[taken:])
 
     def dataReceived(self, data: bytes) -> None:
         if self.code:
@@ -156,6 +166,7 @@
         match message:
             case messages.ReadyForQuery():
                 self.is_set_up = True
+                self.tells_room = bool(peer_room(self.transport))  # there is room now, wherever it is told
                 self.ready.callback(self)
             case messages.ErrorResponse(code, _):
                 self.setup_outcome = "full" if code == b"53300" else "unreachable"
@@ -166,6 +177,8 @@
 
     def on_answer_message(self, message: Any) -> None:
         """Row description, one row of one column and completion, or an error; then ReadyForQuery.  In this order."""
+        if not self.is_query_complete and not isinstance(message, messages.ErrorResponse):
+            raise messages.ProtocolError(f"{type(message).__name__} before the end of the query")
         match message:
             case messages.RowDescription(columns=1) if not self.description and not self.result:
                 self.description = message
@@ -188,31 +201,30 @@
         A query written to a connection that the unit has closed may have run, for all that this side can tell.
         """
         self.probing_shot = shot
-        self.transport.write(messages.query(b""))
+        self.write(messages.query(b""))
 
-    def send_query(self, shot: "Shot", query: bytes) -> None:
-        self.shot, self.written, self.unsent, self.load_reported = shot, False, query, False
+    def send_query(self, shot: "Shot", query: UnitQuery) -> None:
+        self.shot, self.load_reported = shot, False
         self.description = self.row = self.result = None
-        self.transport.registerProducer(self, False)
+        self.writer = QueryWriter(self.pool.reactor, self.transport, query, shot, self.tells_room)
+        self.writer.advance()
 
-    def resumeProducing(self) -> None:
-        """Called when the transport wants something to write: at once, and again when all is written."""
-        if self.unsent:
-            unsent, self.unsent = self.unsent, b""
-            self.transport.write(unsent)
-        else:
-            self.written = True
-            self.transport.unregisterProducer()
+    @property
+    def is_query_complete(self) -> bool:
+        """Whether the last byte of the shot's query has been sent: the unit may have run it."""
+        return self.writer is not None and self.writer.is_complete
 
-    def stopProducing(self) -> None:
-        """The connection has ended; `written` keeps its value."""
+    def drop_query(self) -> None:
+        """The shot's query is refused, and nothing of it is written: the connection has no shot any more."""
+        self.shot = self.writer = None
+        self.pool.release(self)
 
     def finish_shot(self, otherwise: ShotResult) -> None:
         """Deliver the shot's result, or this one if there is none yet."""
         shot, self.shot = self.shot, None
         if shot:
             shot.finish((self.result or otherwise)._replace(load=self.pool.load if self.load_reported else None))
-        self.description = self.row = self.result = None
+        self.description = self.row = self.result = self.writer = None
         self.release_answer()
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:
@@ -224,7 +236,9 @@
             shot, self.probing_shot = self.probing_shot, None
             self.counters.add("units.stale")
             shot.begin()
-        # A query may have run only if its last byte was written.
-        self.finish_shot(self.stop_result or ShotResult("reset" if self.written else "unreachable"))
+        if self.writer:
+            self.writer.stop()
+        # A query may have run only if its last byte was sent.
+        self.finish_shot(self.stop_result or ShotResult("reset" if self.is_query_complete else "unreachable"))
         self.splitter.clear()
         self.counters.connection_ended("unit", self.why(reason), self.pool.address)
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -4,7 +4,6 @@
 connection gets a shot, an empty query (the probe) shows whether the unit is still there.
 """
 
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -14,7 +13,7 @@
 from ..choices.memory_budget import DEFAULT_MEMORY, USED_AT_REST, ByteBudget, share_out
 from .connections import connect
 from .counters import Counters
-from .shots import Shot
+from .shots import Shot, ShotOwner
 from .unit_connection import Connection
 
 
@@ -149,14 +148,12 @@
         """The numbers of the listed units."""
         return list(self.pools)
 
-    def shoot(
-        self, number: int, text: Callable[[], bytes], wait: float, may_still_send: Callable[[], bool]
-    ) -> Shot | None:
+    def shoot(self, number: int, owner: ShotOwner, wait: float) -> Shot | None:
         """Begin a shot that may last `wait` seconds; see `Shot`.  None if the unit is not listed."""
         pool = self.pools.get(number)
         if pool is None:
             return None
-        shot = Shot(pool, text, wait, may_still_send)
+        shot = Shot(pool, owner, wait)
         shot.begin()
         return shot
 
--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -470,7 +470,7 @@
         self.group = group
         self.warmth = warmth  # of the unit when the shot was sent
         self.is_written = False  # as far as the host says so
-        self.ended = self.never_ran = False
+        self.ended = self.never_ran = self.is_withheld = False
 
 
 class ChainStage:
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -97,7 +97,8 @@
 GOING_BACK = 1
 RELEASED = 2
 
-OUTCOMES_NOT_RUN = {"full", "unreachable", "moot"}  # outcomes that prove that a shot did not run
+WITHHELD = "withheld"  # the outcome of a shot whose last byte was not sent, since its unit's machine had no room
+OUTCOMES_NOT_RUN = {"full", "unreachable", "moot", WITHHELD}  # outcomes that prove that a shot did not run
 NO_ROOM = 255  # the load tracker's answer where any unit would be late
 
 # Counts of outcomes (shape: tealsail/parts.py).
@@ -203,7 +204,9 @@
         invocation.is_over |= outcome == "served"
         if not invocation.is_over:
             self.retry_budget = max(-1.0, self.retry_budget - (not shot.never_ran))
-            again = self.retry_budget >= 0 and self.relay.gate.may_repeat(invocation)
+            # A withheld shot was given up for another, which is neither in doubt nor one more attempt.
+            is_paid = outcome == WITHHELD or self.retry_budget >= 0
+            again = is_paid and self.relay.gate.may_repeat(invocation)
             (self.forward if again else self.end)(invocation)
 
 
@@ -484,7 +487,7 @@
         if outcome == "served":
             unit.ejection_time = 0
         elif (
-            outcome == "full"
+            outcome in ("full", WITHHELD)
             or unit.connection_failures > 1
             or (late and unit.silent_since <= shot.sent_at)
             or (outcome == "error" and self.is_outlier(unit))
@@ -615,6 +618,9 @@
     COLD_LOAD_FACTOR = 1.5  # times an even share of the work, for what a cold unit can do now
     MAX_WRITE_DELAY = SECOND * 3 // 20  # for which the process may be held up between a decision and the write
     PROMPT_TIME = SECOND // 20  # after an invocation was taken: a shot written by then falls into the same windows
+    ROOM_WAIT_PART = 0.25  # of the time in which a shot can be sent, spent at a unit that takes in no more of it
+    MIN_ROOM_WAIT = SECOND // 100  # even if that part is less
+    MAX_WITHHELD_SHOTS = 6  # of an invocation; one more waits at its unit for as long as it may
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -664,17 +670,59 @@
         relay.host.send(invocation.number, unit.number, wait)
         return True
 
-    def may_still_send(self, shot: Shot) -> bool:
-        """Whether a shot that waited for its connection may be written now; if so, it counts as written.
+    def may_wait(self, shot: Shot) -> bool:
+        """Whether a shot that waits for its connection, or for room at its unit, may still be sent.
 
-        What may have changed since it was chosen is looked at again: whether anybody waits for the answer, the memory
-        of units, the list, and the exposure.
+        What may have changed since it was chosen is looked at again, but for room within the exposure, which may grow.
         """
-        unit, first = shot.unit, shot.invocation.may_have_run()
-        is_repeat = shot.invocation.workload.effect == "stamped" and first is not shot
-        if shot.invocation.is_over or (is_repeat and not self.is_within_memory(first)):
+        build = shot.unit.build
+        return self.is_choice_valid(shot) and (not self.relay.on_trial(build) or self.relay.cap(build) > 0)
+
+    def why_stop(self, shot: Shot, waited: int) -> str | None:
+        """The outcome with which a shot ends that has waited so long for room at its unit; None: it may wait on."""
+        if not self.may_wait(shot):
+            return "moot"
+        return WITHHELD if self.has_waited_enough(shot, waited) and self.has_alternative(shot) else None
+
+    def has_waited_enough(self, shot: Shot, waited: int) -> bool:
+        """Whether another unit should be tried: this one may stand still for as long as the shot may be sent."""
+        could_wait = self.send_until(shot) - self.relay.now + waited
+        return waited >= max(self.MIN_ROOM_WAIT, self.ROOM_WAIT_PART * could_wait)
+
+    def send_until(self, shot: Shot) -> int:
+        """When a shot may be sent no longer, as far as that is known in advance."""
+        invocation, first = shot.invocation, shot.invocation.may_have_run()
+        if invocation.workload.effect == "stamped" and first is not shot:
+            return min(invocation.deadline, self.remembered_until(first))
+        return invocation.deadline
+
+    def has_alternative(self, shot: Shot) -> bool:
+        """Whether there is a unit that no rule can keep from getting a shot in place of this one."""
+        invocation, relay = shot.invocation, self.relay
+        used = [each.unit for each in invocation.shots]
+        if sum(each.is_withheld for each in invocation.shots) >= self.MAX_WITHHELD_SHOTS:
+            return False
+        return any(
+            unit not in used
+            and relay.choice.is_available(unit)
+            and relay.warmth(unit) >= 1
+            and not relay.on_trial(unit.build)
+            and self.is_in_group(invocation, unit)
+            for unit in relay.units.values()
+        )
+
+    def may_still_send(self, shot: Shot) -> bool:
+        """Whether the last byte of a shot may be sent now; if so, the shot counts as written."""
+        return self.is_choice_valid(shot) and (not self.relay.on_trial(shot.unit.build) or self.may_expose(shot))
+
+    def is_choice_valid(self, shot: Shot) -> bool:
+        """Whether somebody waits for the answer, units remember an earlier shot, and the unit is still listed."""
+        invocation, first = shot.invocation, shot.invocation.may_have_run()
+        if invocation.is_over or self.relay.now >= invocation.deadline:
             return False
-        return self.is_listed(unit) and (not self.relay.on_trial(unit.build) or self.may_expose(shot))
+        if invocation.workload.effect == "stamped" and first is not shot and not self.is_within_memory(first):
+            return False
+        return self.is_listed(shot.unit)
 
     def may_expose(self, shot: Shot) -> bool:
         """Rule 5 at the write, since an attempt counts when it arrives; one that is not written counts no more."""
@@ -702,7 +750,8 @@
 
     def may_send(self, invocation: Invocation) -> bool:
         """Rule 1: no invocation is lost, and nothing is sent for one that is over."""
-        has_shots_left = len(invocation.shots) < self.settings["most_shots"]
+        attempts = sum(not shot.is_withheld for shot in invocation.shots)  # an attempt counts with its last byte
+        has_shots_left = attempts < self.settings["most_shots"]
         return has_shots_left and not invocation.is_over and self.relay.now < invocation.deadline
 
     def may_repeat(self, invocation: Invocation, unit: Unit | None = None) -> bool:
@@ -716,15 +765,22 @@
             return not invocation.open_shots()  # one shot at a time, also where the settings allow two
         if workload.effect != "stamped" or not self.is_within_memory(first):
             return False
-        return (
-            unit is None
-            or workload.group == "all"
-            or (unit.cell == first.unit.cell if workload.group == "cell" else unit.zone == first.unit.zone)
-        )
+        return unit is None or self.is_in_group(invocation, unit)
+
+    def is_in_group(self, invocation: Invocation, unit: Unit) -> bool:
+        """Whether the unit remembers what may have run of the invocation, if anything."""
+        group, first = invocation.workload.group, invocation.may_have_run()
+        if invocation.workload.effect != "stamped" or group == "all" or first is None:
+            return True
+        return unit.cell == first.unit.cell if group == "cell" else unit.zone == first.unit.zone
+
+    def remembered_until(self, first: Shot) -> int:
+        """Until when units drop a repeat of this shot, if one is sent by then."""
+        return first.sent_at + first.invocation.workload.memory - self.MAX_WRITE_DELAY
 
     def is_within_memory(self, first: Shot) -> bool:
         """Whether units still drop a repeat of this shot if one is written now."""
-        return self.relay.now + self.MAX_WRITE_DELAY < first.sent_at + first.invocation.workload.memory
+        return self.relay.now < self.remembered_until(first)
 
     def may_reject(self, invocation: Invocation) -> bool:
         """Whether it does no harm if the client tries again."""
@@ -803,6 +859,7 @@
     def backward(self, shot: Shot, outcome: str, latency: int) -> None:
         """Records that the shot has ended, and whether it is proved that it did not run."""
         shot.ended, shot.never_ran = True, outcome in OUTCOMES_NOT_RUN
+        shot.is_withheld = outcome == WITHHELD
         self.answer_rate += 0.05 * ((outcome != "error") - self.answer_rate)
         super().backward(shot, outcome, latency)
 
@@ -1193,8 +1250,8 @@
     ) -> None:
         """Takes the outcome of the invocation's shot `shot_number`, from 0.
 
-        Outcomes are served, error, full, timeout, unreachable, reset, cancelled and moot.  `is_over` says that the
-        invocation has ended with it; `load` is what the unit reported of itself.
+        Outcomes are served, error, full, timeout, unreachable, reset, cancelled, withheld and moot.  `is_over` says
+        that the invocation has ended with it; `load` is what the unit reported of itself.
         """
         invocation = self.known.get(number)
         if invocation is None:
@@ -1211,8 +1268,12 @@
         if number in self.known:
             self.known[number].is_over = True
 
+    def why_stop(self, number: int, shot_number: int, waited: int) -> str | None:
+        """The outcome with which a shot ends that has waited so long for room at its unit; None: it may wait on."""
+        return self.gate.why_stop(self.known[number].shots[shot_number], waited)
+
     def may_still_send(self, number: int, shot_number: int) -> bool:
-        """Whether a shot may be written now that its connection is up."""
+        """Whether the last byte of a shot may be sent now."""
         return self.gate.may_still_send(self.known[number].shots[shot_number])
 
     def on_abandoned(self, number: int) -> None:
--- a/tealsail/world/rules.py
+++ b/tealsail/world/rules.py
@@ -29,7 +29,7 @@
     UnitEvent,
 )
 
-NEVER_RAN = ("full", "unreachable", "moot")  # outcomes of shots that certainly had no effect
+NEVER_RAN = ("full", "unreachable", "moot", "withheld")  # outcomes of shots that certainly had no effect
 MOST_BREACHES_KEPT = 50  # with their text; all are counted
 LONG_AGO = -1 << 60
 STILL_STOPPED = 1 << 60  # end of a stop that has not ended yet
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -140,6 +140,7 @@
     """
 
     closing = ended = False
+    kernel_room = 1 << 20  # bytes that the kernel takes of one `writeSomeData`
 
     def __init__(self, protocol: Any) -> None:
         super().__init__(peerAddress=IPv4Address("TCP", "127.0.0.2", 999))
@@ -154,6 +155,11 @@
         if not streaming:
             producer.resumeProducing()
 
+    def writeSomeData(self, data: bytes) -> int:
+        taken = data[: self.kernel_room]
+        self.write(taken)
+        return len(taken)
+
     def sent(self) -> bytes:
         """What the protocol has written since the last call; a producer counts it as written only now."""
         if self.producer and not self.streaming:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -65,19 +65,24 @@
                         pass
 
 
+def query_for_unit(statement: statements.Statement, wait: int) -> bytes:
+    query = statements.UnitQuery(statement, lambda: wait)
+    return query.start() + query.end()
+
+
 class Statements(unittest.TestCase):
     def test_only_the_time_to_wait_changes_on_the_way_to_the_unit(self) -> None:
         statement = statements.read(INSERT)
         self.assertEqual(
             (statement.workload, statement.customer, statement.key, statement.wait), ("order", "acme", "7f", 480)
         )
-        self.assertEqual(statements.text_for_unit(statement, 73), INSERT.replace(b"d=480", b"d=73"))
+        self.assertEqual(query_for_unit(statement, 73), messages.query(INSERT.replace(b"d=480", b"d=73")))
 
     def test_quotes_repeat_field_and_comment_inside_a_value(self) -> None:
         text = b"SELECT content FROM kv WHERE name = 'o''clock /* d=1 */' /* id=1,c=a,t=b,d=0.5,r=1 */"
         statement = statements.read(text)
         self.assertEqual((statement.key, statement.wait, statement.repeat), ("o'clock /* d=1 */", 0.5, True))
-        self.assertEqual(statements.text_for_unit(statement, 2), text.replace(b"d=0.5", b"d=2"))
+        self.assertEqual(query_for_unit(statement, 2), messages.query(text.replace(b"d=0.5", b"d=2")))
 
     def test_malformed_statements_raise_an_error(self) -> None:
         good = client_query()[5:-1]
--- /dev/null
+++ b/tests/test_query_ends.py
@@ -0,0 +1,282 @@
+"""The last byte of a query: it is sent while the rules allow it, whoever stands still meanwhile."""
+
+import array
+import fcntl
+import re
+import select
+import socket
+import struct
+import termios
+from itertools import product
+
+from tealsail.choices.query_ends import MAX_HELD_BYTES
+
+from .crossing import Crossing, row
+from .fake import READY, STARTUP_RESPONSE, message
+from .test_relay import config, listing, reply, state, unit
+
+VALUE_BYTES = 65_536  # the largest value that the protocol allows; in hexadecimal form twice as long
+SMALL_BUFFER = 32_768  # bytes of a unit's receive buffer, which the kernel doubles
+MEMORY_S = 3.0  # of units for keyed requests, by the settings of `start`
+WRITE_MARGIN_S = 0.15  # before the memory's end in which nothing is sent, for a process that is held up
+REFUSED, FAILED = b"C53300\0", b"C58000\0"
+
+
+class QueryEnds(Crossing):
+    """One relay, whose units take in only a part of a query before their processes stand still."""
+
+    asked = 0
+
+    def start(self, *units: dict, cancel: bool = True, **more: object) -> None:
+        self.set_buffer(SMALL_BUFFER)
+        settings = config()["settings"] | {"fleetSize": 100}  # in which nobody opens connections ahead
+        booking = {
+            "name": "booking",
+            "effect": "idempotency_key",
+            "group": "all",
+            "memorySpan": MEMORY_S * 1000,
+            "aim": 1200,
+            "deadline": 5000,
+        }
+        settings["requestClasses"].append(booking)
+        settings["limits"] |= {"cancel": cancel, "mayTell": False}
+        self.start_relay(*units, settings=settings, **more)
+
+    def set_buffer(self, size: int) -> None:
+        """The receive buffer of the unit's new connections."""
+        self.unit_side.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def listed(self, name: str = "s-1", **fields: object) -> dict:
+        """The entry of the unit that listens at `unit_side`."""
+        return unit(1, name) | {"hostPort": f"127.0.0.1:{self.unit_side.getsockname()[1]}"} | fields
+
+    def ask(self, workload: str = "order", size: int = VALUE_BYTES, wait: int = 5000, more: str = "") -> socket.socket:
+        """A client that has sent a query which writes a value of `size` bytes."""
+        client = self.connect()
+        self.asked += 1
+        form = "INSERT INTO kv (name, content) VALUES ('k', '\\x%s') RETURNING content /* id=%d,c=%s,t=acme,d=%d%s */"
+        self.text = (form % ("9f" * size, self.asked, workload, wait, more)).encode()
+        client.sendall(message(b"Q", self.text + b"\0"))
+        return client
+
+    def accept_part(self) -> socket.socket:
+        """The unit's end of a connection to which all that the unit's machine takes in of a query has come, unread."""
+        unit_end = self.accept(self.unit_side)
+        unit_end.sendall(STARTUP_RESPONSE)
+        self.run_until(lambda: self.unread(unit_end) > 60)  # more than the startup message
+        self.run_turns()
+        return unit_end
+
+    def run_turns(self) -> None:
+        for _ in range(20):
+            self.run_once()
+
+    def unread(self, sock: socket.socket) -> int:
+        """The bytes that have come and are not read."""
+        count = array.array("i", [0])
+        fcntl.ioctl(sock, termios.FIONREAD, count)
+        return count[0]
+
+    def read_all(self, unit_end: socket.socket, seconds: float = 0.3) -> bytes:
+        """The unit goes on: all that it receives while so many seconds pass."""
+        received = bytearray()
+        for _ in range(round(seconds * 100)):
+            self.now += 0.01
+            self.run_once()
+            while select.select([unit_end], [], [], 0)[0]:
+                try:
+                    data = unit_end.recv(1 << 16)
+                except ConnectionResetError:
+                    return bytes(received)
+                if not data:
+                    return bytes(received)
+                received += data
+        return bytes(received)
+
+    def stand_still(self, unit_end: socket.socket, seconds: float) -> bytes:
+        """The relay's process stands still while the unit goes on; returns what the unit receives until then."""
+        received = bytearray()
+        while select.select([unit_end], [], [], 0.05)[0]:
+            received += unit_end.recv(1 << 16)
+        self.now += seconds
+        return bytes(received)
+
+    def answer_to(self, client: socket.socket) -> bytes:
+        return self.receive_until(client, READY)
+
+    def assert_incomplete(self, received: bytes) -> None:
+        self.assertTrue(b"INSERT" in received, "no part of the query came")
+        self.assertFalse(b"*/\0" in received, "the end of the query came")
+
+    def repeat(self) -> tuple[socket.socket, socket.socket]:
+        """The client of a keyed request that may have run, and the unit's end that has a part of its repeat."""
+        self.start()
+        client = self.ask("booking")
+        first = self.accept_query()
+        first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        first.close()
+        return client, self.accept_part()
+
+    # Guards against a keyed repeat that runs again: its unit stands still while the units' memory ends (review case 6).
+    def test_repeat_that_a_unit_takes_in_in_part_is_not_ended_after_the_units_memory(self) -> None:
+        client, unit_end = self.repeat()
+        self.pass_time(MEMORY_S - WRITE_MARGIN_S - 0.1)
+        self.assertEqual(select.select([client], [], [], 0)[0], [])
+        self.pass_time(0.15)
+        self.assertIn(FAILED, self.answer_to(client))  # at once, not at the client's deadline
+        self.assert_incomplete(self.read_all(unit_end))
+
+    # Guards against the same where the relay stands still too: no timer can end the attempt in time then.
+    def test_repeat_is_not_ended_by_the_kernel_while_the_relay_stands_still(self) -> None:
+        client, unit_end = self.repeat()
+        received = self.stand_still(unit_end, MEMORY_S)
+        self.assert_incomplete(received + self.read_all(unit_end))
+        self.assertIn(FAILED, self.answer_to(client))
+
+    # Guards against a query for nobody: our kernel has all of it as its client leaves, and nothing may be called off.
+    def test_query_is_not_ended_once_its_client_has_left(self) -> None:
+        self.start(cancel=False)
+        client = self.ask()
+        unit_end = self.accept_part()
+        client.close()
+        self.run_until(lambda: self.relay.counters.counts["clients.left"])
+        self.assert_incomplete(self.read_all(unit_end))
+        self.assertEqual(self.relay.counters.counts["units.moot"], 1)
+
+    def trial_of_the_only_unit(self) -> socket.socket:
+        """The unit's end that has a part of a query; the unit's build is on trial."""
+        self.start(self.listed(build=42), rollouts={"address": "127.0.0.1:1", "news": state(42, 1, "canary", 1.0)})
+        self.client = self.ask()
+        return self.accept_part()
+
+    # Guards against an attempt at a build whose cap was lowered before the attempt's last byte came.
+    def test_query_is_not_ended_at_a_build_whose_cap_is_lowered_to_0(self) -> None:
+        unit_end = self.trial_of_the_only_unit()
+        self.relay.on_rollout_state(self.relay.configuration.state._replace(cap=0.0))
+        self.pass_time(0.1)
+        self.assert_incomplete(self.read_all(unit_end))
+        self.assertIn(REFUSED, self.answer_to(self.client))
+
+    # Guards against attempts that were counted as they were chosen, and all come in one window without requests.
+    def test_query_at_a_build_on_trial_counts_when_it_ends(self) -> None:
+        unit_end = self.trial_of_the_only_unit()
+        arrivals = next(iter(self.relay.facade.relay.gate.arrivals.values()), {})
+        self.assertEqual(sum(sum(each.sums) for each in arrivals.values()), 0)
+        self.assertTrue(self.read_all(unit_end).endswith(b"*/\0"))
+        arrivals = next(iter(self.relay.facade.relay.gate.arrivals.values()))
+        self.assertEqual(sum(sum(max(0, amount) for amount in each.sums) for each in arrivals.values()), 1)
+
+    # Guards against a query for a unit whose place has gone to another build or another process meanwhile.
+    def test_query_is_not_ended_once_its_pool_is_closed(self) -> None:
+        self.start()
+        client = self.ask()
+        agent = self.agent()
+        unit_end = self.accept_part()
+        agent.sendall(reply(listing(42, True, self.listed(build=40))))
+        self.run_until(lambda: self.relay.units.retired)
+        self.assert_incomplete(self.read_all(unit_end))
+        again = self.accept_query()  # the unit's place is asked anew, since nothing ran
+        again.sendall(row(b"v") + READY)
+        self.assertEqual(self.answer_to(client), row(b"v") + READY)
+
+    # Guards against a shot that is stopped, never ended, and yet counts as one that may have run.
+    def test_query_that_is_stopped_before_its_end_never_ran(self) -> None:
+        self.start()
+        client = self.ask(wait=1000)
+        unit_end = self.accept_part()
+        self.pass_time(1.1)
+        self.assertIn(REFUSED, self.answer_to(client))
+        self.assert_incomplete(self.read_all(unit_end))
+
+    # Guards against a query that ends after its client's time, because the timer of its next check comes first.
+    def test_query_is_not_ended_after_the_clients_time_by_a_relay_that_stood_still(self) -> None:
+        self.start()
+        client = self.ask(wait=1000)
+        unit_end = self.accept_part()
+        received = self.stand_still(unit_end, 2.0)
+        self.assert_incomplete(received + self.read_all(unit_end))
+        self.assertIn(REFUSED, self.answer_to(client))
+
+    # Guards against a unit that is told, with the end of a long query, the time that was left at its beginning.
+    def test_the_end_tells_the_time_that_is_left_then(self) -> None:
+        self.start()
+        client = self.ask(wait=1500, more=",x=" + "y" * 200)
+        unit_end = self.accept_part()
+        self.pass_time(0.7)
+        received = self.read_all(unit_end)
+        told = int(re.search(rb",d=(\d+)", received)[1])
+        self.assertLessEqual(told, 800)
+        self.assertGreater(told, 600)
+        query = received[received.index(b"Q") :]
+        self.assertEqual(len(query), struct.unpack(">I", query[1:5])[0] + 1)
+        self.assertEqual(query[5:], self.text.replace(b",d=1500", b",d=%04d" % told) + b"\0")
+        unit_end.sendall(row(b"v") + READY)
+        self.assertEqual(self.answer_to(client), row(b"v") + READY)
+
+    # Guards against the same where the part behind the time is too long to be held back.
+    def test_an_end_that_tells_an_old_time_is_not_sent(self) -> None:
+        self.start()
+        self.ask(wait=1500, more=",x=" + "y" * MAX_HELD_BYTES)
+        unit_end = self.accept_part()
+        self.pass_time(0.3)
+        self.assert_incomplete(self.read_all(unit_end))
+
+    # Guards against a small query that does not fit into a unit's smaller receive buffer.
+    def test_small_query_at_a_smaller_buffer_is_not_ended_once_its_client_has_left(self) -> None:
+        self.start(cancel=False)
+        self.set_buffer(1)
+        client = self.ask(size=3000)
+        unit_end = self.accept_part()
+        client.close()
+        self.run_until(lambda: self.relay.counters.counts["clients.left"])
+        self.assert_incomplete(self.read_all(unit_end))
+
+    # Guards against a query that stays incomplete at a unit which reads all the time, whatever its buffer.
+    def test_queries_of_all_sizes_reach_units_that_read(self) -> None:
+        self.start()
+        for buffer, size in product((1, 5000, SMALL_BUFFER, 1 << 20), (1, 500, 5000, VALUE_BYTES)):
+            with self.subTest(buffer=buffer, size=size):
+                self.set_buffer(buffer)
+                client = self.ask("basket", size)
+                unit_end = self.accept(self.unit_side)
+                unit_end.sendall(STARTUP_RESPONSE)
+                received = self.read_all(unit_end, 0.5)
+                self.assertTrue(b"9f" * size in received)
+                self.assertTrue(received.endswith(b"*/\0"))
+                unit_end.sendall(row(b"v") + READY)
+                self.assertEqual(self.answer_to(client), row(b"v") + READY)
+                self.relay.units.close_idle()
+
+    # Guards against a repeat that waits at one standing unit until it may not be sent any more: others could take it.
+    def test_query_moves_on_from_a_unit_that_takes_in_no_more(self) -> None:
+        other_side = self.listener()
+        other = unit(1, "s-2") | {"hostPort": f"127.0.0.1:{other_side.getsockname()[1]}"}
+        self.start(self.listed(), other)
+        other_side.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        client = self.ask(wait=2000)
+        self.run_until(lambda: select.select([self.unit_side, other_side], [], [], 0)[0])
+        standing, reading = self.unit_side, other_side
+        if select.select([other_side], [], [], 0)[0]:
+            standing, reading = reading, standing
+        standing_end = self.accept(standing)
+        standing_end.sendall(STARTUP_RESPONSE)
+        self.pass_time(0.4)
+        self.assertEqual(select.select([reading], [], [], 0)[0], [])  # a quarter of the time
+        self.pass_time(0.2)
+        reading_end = self.accept(reading)
+        reading_end.sendall(STARTUP_RESPONSE)
+        self.assertTrue(self.read_all(reading_end).endswith(b"*/\0"))
+        self.assert_incomplete(self.read_all(standing_end))
+        reading_end.sendall(row(b"v") + READY)
+        self.assertEqual(self.answer_to(client), row(b"v") + READY)
+        self.assertEqual(self.relay.counters.counts["units.withheld"], 1)
+
+    # Guards against an answer from a unit that has not got the whole query: no unit made it for that.
+    def test_answer_before_the_end_of_the_query_is_not_passed_on(self) -> None:
+        self.start()
+        client = self.ask()
+        unit_end = self.accept_part()
+        unit_end.sendall(row(b"v") + READY)
+        again = self.accept_query()
+        again.sendall(row(b"w") + READY)
+        self.assertEqual(self.answer_to(client), row(b"w") + READY)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,6 +115,69 @@
         self.assertEqual(len(story.sent(number)), 2)
 
 
+class ShotsThatWaitForRoom(unittest.TestCase):
+    """Shots whose unit takes in no more before their last byte is sent."""
+
+    def wait(self, story: RelayFixture, number: int, tenths: int) -> str | None:
+        """The latest shot of an invocation waits; what it ends with, if it does."""
+        story.later(tenths)
+        return story.relay.why_stop(number, len(story.sent(number)) - 1, tenths)
+
+    def test_a_shot_moves_on_after_a_quarter_of_the_time_in_which_it_may_be_sent(self) -> None:
+        story = RelayFixture(workloads=(ONE_SHOT,))
+        number = story.take()  # for 4 s
+        self.assertIsNone(self.wait(story, number, SECOND - 1))
+        story.relay.now -= SECOND - 1
+        self.assertEqual(self.wait(story, number, SECOND), policy.WITHHELD)
+        story.report_outcome(number, policy.WITHHELD)
+        self.assertEqual(len(set(story.sent(number))), 2)
+
+    def test_a_repeat_moves_on_by_what_is_left_of_the_units_memory(self) -> None:
+        """Guards against a repeat that stays at a standing unit until no other may get it either."""
+        story = RelayFixture(workloads=(dict(STAMPED, group="all"),))
+        number = story.take()
+        story.later(SECOND)
+        story.report_outcome(number, "reset")
+        self.assertIsNone(self.wait(story, number, (SECOND - HELD_UP) // 4 - 2))
+        self.assertEqual(self.wait(story, number, (SECOND - HELD_UP) // 4), policy.WITHHELD)
+
+    def test_a_shot_that_moves_on_is_no_attempt_and_needs_no_budget(self) -> None:
+        story = RelayFixture(units=12, workloads=(ONE_SHOT,), most_shots=1)
+        story.relay.intake.retry_budget = -1.0
+        number = story.take()
+        for _ in range(policy.Gate.MAX_WITHHELD_SHOTS):
+            self.assertEqual(self.wait(story, number, SECOND), policy.WITHHELD)
+            story.relay.now -= SECOND
+            story.report_outcome(number, policy.WITHHELD, shot_number=len(story.sent(number)) - 1)
+        self.assertEqual(len(set(story.sent(number))), policy.Gate.MAX_WITHHELD_SHOTS + 1)
+        self.assertIsNone(self.wait(story, number, SECOND))  # it waits on at the last one
+        story.report_outcome(number, "full", shot_number=len(story.sent(number)) - 1)
+        self.assertEqual((len(story.sent(number)), story.host.of("reject")[0][0]), (7, number))
+
+    def test_a_shot_waits_on_where_no_other_unit_may_get_it(self) -> None:
+        story = RelayFixture(units=2, workloads=(STAMPED,))
+        number = story.take()
+        here = story.sent(number)[0]
+        changes = (
+            story.unit(1 - here, state="draining"),
+            story.unit(1 - here, started=story.relay.now),  # cold
+            story.unit(1 - here, build=2),  # on trial
+        )
+        for entry in changes:
+            story.update_list([entry], kind="changes")
+            self.assertIsNone(self.wait(story, number, SECOND))
+            story.relay.now -= SECOND
+
+    def test_a_shot_is_not_sent_after_its_clients_time(self) -> None:
+        story = RelayFixture()
+        number = story.take()
+        story.later(4 * SECOND - 1)
+        self.assertTrue(story.relay.may_still_send(number, 0))
+        story.later(1)
+        self.assertFalse(story.relay.may_still_send(number, 0))
+        self.assertEqual(story.relay.why_stop(number, 0, 0), "moot")
+
+
 class DrainsAreKept(unittest.TestCase):
     def test_draining_gone_and_unlisted_units_get_nothing(self) -> None:
         story = RelayFixture(units=4)
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -6,12 +6,13 @@
 
 from tealsail.choices.connection_lifetimes import ANSWER_REST_S
 from tealsail.choices.memory_budget import ByteBudget, answer_cost
-from tealsail.net import messages, unit_connection, units
+from tealsail.net import messages, statements, unit_connection, units
 from tealsail.net.counters import Counters
 
-from .fake import READY, ROW, STARTUP, STARTUP_RESPONSE, MemoryTransport, Reactor, error_response, message
+from .fake import READY, ROW, STARTUP, STARTUP_RESPONSE, MemoryTransport, Reactor, client_query, error_response, message
 
-QUERY, EMPTY = message(b"Q", b"text\0"), message(b"Q", b"\0")
+QUERY, EMPTY = client_query(wait=480), message(b"Q", b"\0")
+STATEMENT = QUERY[5:-1]
 PROBE_ANSWER = message(b"I", b"") + READY
 
 
@@ -22,9 +23,19 @@
         self.units.listed(1, "127.0.0.9:7001", 5, 0)
         self.may_still_send = True
 
+    # The test owns the shots.
+    def query(self) -> statements.UnitQuery:
+        return statements.UnitQuery(statements.read(STATEMENT), lambda: 480)
+
+    def why_stop(self, waited_s: float) -> str | None:
+        return None if self.may_still_send else "moot"
+
+    def may_send(self) -> bool:
+        return self.may_still_send
+
     def shoot(self, number: int = 1, wait: float = 1.0) -> list[unit_connection.ShotResult]:
         self.reactor.advance(ANSWER_REST_S)  # a connection that has just answered is not reused at once
-        shot = self.units.shoot(number, lambda: b"text", wait, lambda: self.may_still_send)
+        shot = self.units.shoot(number, self, wait)
         self.shot, results = shot, []
         shot.done.addCallback(results.append)
         return results
@@ -156,10 +167,10 @@
             self.assertEqual(results[0].outcome, outcome)
 
     def test_query_may_have_run_only_if_its_last_byte_was_written(self) -> None:
-        for written, outcome in ((False, "unreachable"), (True, "reset")):
-            results, transport = self.shoot(), self.complete_connect()
-            if written:
-                transport.sent()
+        for taken, outcome in ((0, "unreachable"), (len(QUERY) - 1, "unreachable"), (len(QUERY), "reset")):
+            results, transport = self.shoot(), self.reactor.complete_connect(7001)
+            transport.kernel_room = taken
+            transport.feed(STARTUP_RESPONSE)
             transport.drop(ConnectionDone())
             self.assertEqual(results[0].outcome, outcome)
 
@@ -231,7 +242,7 @@
             self.units.listed(1, *mark)
             self.assertTrue(transport.settle())
         self.units.unlisted(1)
-        self.assertIsNone(self.units.shoot(1, lambda: b"", 1, lambda: True))
+        self.assertIsNone(self.units.shoot(1, self, 1))
 
     def test_connection_limit_closes_an_idle_one_or_opens_none(self) -> None:
         idle = self.served()
