Read the client's close and news of units and builds before a query's last byte

What would be seen: a relay that stood still sends the end of a query for a client that left meanwhile, or to a unit or build that discovery or the platform had withdrawn: they count as told when the news has come to this machine.

Cause: after a standstill timers run before the event loop reads, and of what has arrived a unit's welcome may be read before the news.

Change: as a query is to begin or to end, the kernel is asked whether the client has closed (kernel.has_peer_closed) and whether discovery or the platform have sent something unread (has_unread_bytes). The first ends the invocation; the second puts the query off to the loop's next turn, which comes after the reading.

Evidence and tests: four of tests/test_query_ends.py, on real sockets with the relay's clock moved and its loop not run meanwhile; all four failed before. Two of them passed at first on the old code too, since with a standstill of 2 s the connection's setup had timed out; they take 0.2 s now.

--- a/tealsail/lab/scale/hollow_relay.py
+++ b/tealsail/lab/scale/hollow_relay.py
@@ -218,7 +218,7 @@
             super().on_peer_message(number, data)
 
     def take(self, statement: statements.Statement, at: int) -> Deferred:
-        return self.meter.run("serving", super().take, statement, at)
+        return self.meter.run("serving", super().take, statement, at, lambda: False)  # nobody leaves
 
     def on_tick(self) -> None:
         if not self.is_dead:
--- a/tealsail/net/client_connection.py
+++ b/tealsail/net/client_connection.py
@@ -81,7 +81,7 @@
     reactor: Any
     clock: Callable[[], int]
     counters: Counters
-    take: Callable[[statements.Statement, int], Deferred[Answer]]
+    take: Callable[[statements.Statement, int, Callable[[], bool]], Deferred[Answer]]
     turns: Turns
     requests: ByteBudget
     answers: ByteBudget
@@ -440,10 +440,10 @@
             return self.answer_empty(pending)
         if statements.SESSION_COMMAND.fullmatch(text):
             return self.set_answer(pending, messages.SET_RESPONSE)
-        if has_peer_closed(self.transport):  # which reading shows only behind all that is unread
+        if self.has_closed():
             return self.abort("left")
         try:
-            pending.request = self.clients.take(statements.read(text), query.at)
+            pending.request = self.clients.take(statements.read(text), query.at, self.has_closed)
         except statements.StatementError as problem:
             self.counters.add("clients.unclear")
             return self.set_answer(
@@ -453,6 +453,10 @@
         # the errback takes the cancellation, when there is nobody to answer any more
         pending.request.addCallbacks(self.on_answer, lambda reason: None, callbackArgs=(pending,))
 
+    def has_closed(self) -> bool:
+        """Whether the client has closed the connection, which reading shows only behind all that is unread."""
+        return has_peer_closed(self.transport)
+
     def answer_empty(self, pending: PendingAnswer) -> None:
         if not self.came_during_shutdown:
             return self.set_answer(pending, messages.EMPTY_QUERY_RESPONSE)
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -49,7 +49,7 @@
     def __init__(
         self,
         reactor: Any,
-        take: Callable[[statements.Statement, int], Deferred[Answer]],
+        take: Callable[[statements.Statement, int, Callable[[], bool]], Deferred[Answer]],
         clock: Callable[[], int],
         counters: Counters,
         max_connections: int,
--- a/tealsail/net/connections.py
+++ b/tealsail/net/connections.py
@@ -13,6 +13,7 @@
 
 from ..choices.backoff import Backoff
 from .counters import Counters
+from .kernel import has_unread_bytes
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -131,6 +132,11 @@
         self.backoff.reset()
         self.start()
 
+    def has_unread_data(self) -> bool:
+        """Whether the kernel holds data for the connection in use."""
+        connection = self.connection
+        return connection is not None and not connection.code and has_unread_bytes(connection.transport)
+
     def expect_data_within(self, seconds: float) -> None:
         """End the connection unless this is called again, or the expectation ended, within that time."""
         self.stop_expecting_data()
--- a/tealsail/net/invocation.py
+++ b/tealsail/net/invocation.py
@@ -1,5 +1,6 @@
 """One invocation that a relay has taken, from its query to its answer."""
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -23,9 +24,10 @@
 class ActiveInvocation:
     """One invocation from its query to its answer: sends the shots that the facade asks for and reports outcomes."""
 
-    def __init__(self, relay: "Relay", statement: Statement, at: int) -> None:
-        """`at`: when the query came, by the relay's clock."""
-        self.relay, self.statement = relay, statement
+    def __init__(self, relay: "Relay", statement: Statement, at: int, has_client_closed: Callable[[], bool]) -> None:
+        """`at`: when the query came, by the relay's clock.  `has_client_closed`: whether the kernel knows of the
+        client's close, which the event loop may not have read yet."""
+        self.relay, self.statement, self.has_client_closed = relay, statement, has_client_closed
         self.answer: Deferred[Answer] = Deferred(self.on_client_left)
         self.is_over = False  # answered, or the client has left
         self.cost = request_cost(len(statement.text_before_wait) + len(statement.text_after_wait) + len(statement.key))
@@ -106,6 +108,12 @@
                 self.relay.record.invocation_ended(self.number, answer)
             self.answer.callback(answer)
 
+    def check_client(self) -> bool:
+        """Whether the client still waits, as far as the kernel knows; if not, the invocation ends now."""
+        if not self.is_over and self.has_client_closed():
+            self.answer.cancel()
+        return not self.is_over
+
     def cancel_shot(self, shot_number: int) -> None:
         if shot_number in self.shots:
             self.shots[shot_number].stop("cancelled")
@@ -166,6 +174,11 @@
         waited = int(waited_s * TENTHS_PER_SECOND)
         return self.relay.facade.why_stop(self.invocation.number, self.shot_number, waited)
 
+    def is_informed(self) -> bool:
+        """Whether all news of units and builds that has arrived is read."""
+        return not self.relay.has_unread_news()
+
     def may_send(self) -> bool:
         """Whether the shot may be sent now; if so, it counts as sent."""
-        return self.relay.facade.may_still_send(self.invocation.number, self.shot_number)
+        may_send = self.relay.facade.may_still_send
+        return self.invocation.check_client() and may_send(self.invocation.number, self.shot_number)
--- a/tealsail/net/query_writer.py
+++ b/tealsail/net/query_writer.py
@@ -20,6 +20,9 @@
     def why_stop(self, waited_s: float) -> str | None:
         """The outcome with which the query is given up after a wait of so many seconds; None: it may wait on."""
 
+    def is_informed(self) -> bool:
+        """Whether all has been read that may forbid the query."""
+
     def may_send(self) -> bool:
         """Whether the query may be sent now; if so, it counts as sent."""
 
@@ -80,8 +83,10 @@
             self.refuse(outcome)
         elif self.progress != Progress.NOT_BEGUN:
             self.check_later(room_check_delay(waited))
-        else:
+        elif self.gate.is_informed():
             self.write_start()
+        else:
+            self.check_later(0)
 
     def rest(self) -> bytes:
         """What is still to be written."""
@@ -107,6 +112,8 @@
 
     def send_rest(self) -> None:
         """Ask the gate, and write all that is left in the same call."""
+        if not self.gate.is_informed():
+            return self.check_later(0)
         if not self.is_up_to_date() or not self.gate.may_send():
             return self.refuse("moot")
         rest = self.rest()
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -293,10 +293,11 @@
             settings_now,
         )
 
-    def take(self, statement: Statement, at: int) -> Deferred[Answer]:
+    def take(self, statement: Statement, at: int, has_client_closed: Callable[[], bool]) -> Deferred[Answer]:
         """Begin an invocation that came at `at`, in tenths of a millisecond by the relay's clock.
 
-        The caller cancels the Deferred if the client leaves.  Raises StatementError.
+        The caller cancels the Deferred if the client leaves; `has_client_closed` says whether it has, as far as the
+        kernel knows.  Raises StatementError.
         """
         if statement.workload not in self.facade.workloads:
             raise StatementError("no such workload")
@@ -304,10 +305,14 @@
             raise StatementError("the id of an open invocation")
         if statement.id in self.recent_ids:
             raise StatementError("the id of an earlier invocation")
-        answer = ActiveInvocation(self, statement, at).answer
+        answer = ActiveInvocation(self, statement, at, has_client_closed).answer
         self.schedule_tick()
         return answer
 
+    def has_unread_news(self) -> bool:
+        """Whether the kernel holds news of discovery or the platform, which count as known once they have arrived."""
+        return self.discovery.has_unread_data() or self.platform.has_unread_data()
+
     def deadline(self, statement: Statement, at: int) -> int:
         """When the client of a query that came at `at` has to have its answer, in tenths of a ms of the relay's clock.
 
--- a/tealsail/net/shots.py
+++ b/tealsail/net/shots.py
@@ -22,6 +22,9 @@
     def why_stop(self, waited_s: float) -> str | None:
         """The outcome with which the shot ends that has waited for so many seconds; None: it may wait on."""
 
+    def is_informed(self) -> bool:
+        """Whether all has been read that may forbid the shot."""
+
     def may_send(self) -> bool:
         """Whether the shot may be sent now; if so, it counts as sent."""
 
@@ -75,6 +78,10 @@
         """The outcome with which the query is given up; None: it may be sent, now or later."""
         return "moot" if self.pool.closed else self.owner.why_stop(waited_s)
 
+    def is_informed(self) -> bool:
+        """Whether all has been read that may forbid the query."""
+        return self.owner.is_informed()
+
     def may_send(self) -> bool:
         """Whether the query may be sent now; not to a closed pool, whose unit may be at another address by now."""
         return not self.pool.closed and self.owner.may_send()
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -167,6 +167,24 @@
         except ConnectionResetError:
             return bytes(seen)
 
+    def receive_what_comes(self, sock: socket.socket) -> bytes:
+        """Receive up to the close, the reset, or 20 turns of the loop in a row without anything."""
+        seen, idle_turns = bytearray(), 0
+        while idle_turns < 20:
+            self.run_once()
+            if not select.select([sock], [], [], 0)[0]:
+                idle_turns += 1
+                continue
+            idle_turns = 0
+            try:
+                data = sock.recv(1 << 16)
+            except ConnectionResetError:
+                break
+            if not data:
+                break
+            seen += data
+        return bytes(seen)
+
     def wait_until_unread(self, client: socket.socket) -> None:
         """Wait until what the client wrote lies unread at the relay's end."""
         connection = next(
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -31,7 +31,7 @@
             self.reactor, self.take, lambda: round(self.reactor.seconds() * 10_000), self.counters, 16
         )
 
-    def take(self, statement: object, at: int) -> Deferred:
+    def take(self, statement: object, at: int, has_client_closed: object) -> Deferred:
         place = len(self.taken)
         self.received_at.append(at)
         self.taken.append(Deferred(lambda _: self.cancelled.append(place)))
@@ -286,7 +286,7 @@
 
     # Guards against hundreds of connections whose queries hold the loop for seconds, while one query waits.
     def test_connections_begin_their_queries_in_turns_once_the_loop_has_taken_its_time(self) -> None:
-        def take(statement: statements.Statement, at: int) -> Deferred:
+        def take(statement: statements.Statement, at: int, has_client_closed: object) -> Deferred:
             self.reactor.rightNow += 0.006
             begun.append(statement.customer)
             return Deferred(lambda _: None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -317,24 +317,6 @@
         self.assertNotIn(b"*/\0", received)
         self.assertEqual(self.relay.counters.counts["units.moot"], 1)
 
-    def receive_what_comes(self, sock: socket.socket) -> bytes:
-        """Receive up to the close, the reset, or 20 turns of the loop in a row without anything."""
-        seen, idle_turns = bytearray(), 0
-        while idle_turns < 20:
-            self.run_once()
-            if not select.select([sock], [], [], 0)[0]:
-                idle_turns += 1
-                continue
-            idle_turns = 0
-            try:
-                data = sock.recv(1 << 16)
-            except ConnectionResetError:
-                break
-            if not data:
-                break
-            seen += data
-        return bytes(seen)
-
     def test_query_that_waits_for_a_connection_is_not_sent_once_its_client_has_left(self) -> None:
         """Guards against an attempt that begins after its client has gone, where nothing may be called off."""
         client = self.start_relay_that_may_not_cancel()
--- a/tests/test_query_ends.py
+++ b/tests/test_query_ends.py
@@ -2,6 +2,7 @@
 
 import array
 import fcntl
+import json
 import re
 import select
 import socket
@@ -59,6 +60,12 @@
         client.sendall(message(b"Q", self.text + b"\0"))
         return client
 
+    def accept_startup(self) -> socket.socket:
+        """The unit's end of a connection, after the startup message has come over it."""
+        unit_end = self.accept(self.unit_side)
+        self.receive_until(unit_end, b"\0\0")
+        return unit_end
+
     def accept_part(self) -> socket.socket:
         """The unit's end of a connection to which all that the unit's machine takes in of a query has come, unread."""
         unit_end = self.accept(self.unit_side)
@@ -143,6 +150,15 @@
         self.assert_incomplete(self.read_all(unit_end))
         self.assertEqual(self.relay.counters.counts["units.moot"], 1)
 
+    # Guards against the same where the close is still unread as the unit has room: the relay stood still.
+    def test_query_is_not_ended_if_the_client_left_while_the_relay_stood_still(self) -> None:
+        self.start(cancel=False)
+        client = self.ask()
+        unit_end = self.accept_part()
+        client.close()
+        received = self.stand_still(unit_end, 0.5)
+        self.assert_incomplete(received + self.read_all(unit_end))
+
     def trial_of_the_only_unit(self) -> socket.socket:
         """The unit's end that has a part of a query; the unit's build is on trial."""
         self.start(self.listed(build=42), rollouts={"address": "127.0.0.1:1", "news": state(42, 1, "canary", 1.0)})
@@ -179,6 +195,45 @@
         again.sendall(row(b"v") + READY)
         self.assertEqual(self.answer_to(client), row(b"v") + READY)
 
+    # Guards against a query that ends by a list which was changed while the relay stood still.
+    def test_query_is_not_ended_before_news_that_has_arrived_is_read(self) -> None:
+        self.start()
+        self.ask()
+        agent = self.agent()
+        unit_end = self.accept_part()
+        received = self.stand_still(unit_end, 0.5)
+        agent.sendall(reply(listing(42, True, self.listed(lifecycle="draining"))))
+        self.advance(0)  # timers come before what has arrived
+        self.assert_incomplete(received + self.read_all(unit_end))
+
+    # Guards against a query that begins by such a list: its connection came up while the relay stood still.
+    def test_query_is_not_begun_before_news_that_has_arrived_is_read(self) -> None:
+        self.start()
+        client = self.ask("basket", size=1)
+        agent = self.agent()
+        unit_end = self.accept_startup()
+        unit_end.sendall(STARTUP_RESPONSE)
+        agent.sendall(reply(listing(42, True, self.listed(lifecycle="draining"))))
+        self.now += 0.2  # less than the setup of a connection may take
+        self.assertIn(REFUSED, self.answer_to(client))
+        self.assertNotIn(b"INSERT", self.receive_all(unit_end))
+
+    # Guards against the same with a cap that the platform has lowered.
+    def test_query_is_not_begun_before_a_lowered_cap_that_has_arrived_is_read(self) -> None:
+        platform_side = self.listener()
+        address = f"127.0.0.1:{platform_side.getsockname()[1]}"
+        self.start(self.listed(build=42), rollouts={"address": address, "news": state(42, 1, "canary", 1.0)})
+        platform = self.accept(platform_side)
+        self.receive_until(platform, b"\n")
+        client = self.ask("basket", size=1)
+        unit_end = self.accept_startup()
+        unit_end.sendall(STARTUP_RESPONSE)
+        news = {"jsonrpc": "2.0", "method": "stage", "params": state(42, 1, "canary", 0.0)}
+        platform.sendall(json.dumps(news).encode() + b"\n")
+        self.now += 0.2  # less than the setup of a connection may take
+        self.assertIn(REFUSED, self.answer_to(client))
+        self.assertNotIn(b"INSERT", self.receive_what_comes(unit_end))
+
     # Guards against a shot that is stopped, never ended, and yet counts as one that may have run.
     def test_query_that_is_stopped_before_its_end_never_ran(self) -> None:
         self.start()
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -30,6 +30,9 @@
     def why_stop(self, waited_s: float) -> str | None:
         return None if self.may_still_send else "moot"
 
+    def is_informed(self) -> bool:
+        return True
+
     def may_send(self) -> bool:
         return self.may_still_send
 
