End a connection on which a query's last byte is not acknowledged in time

What would be seen: a query whose last byte is lost (its unit's machine is cut off, or drops it) comes seconds or minutes later, for a client that has left, after the units' memory, or in a window without requests: the kernel sends it again by itself.

Cause: the gate knows that there is room for the last byte, not that it arrives.

Change: net/arrivals.py looks once, 0.15 to 0.175 s after the sending, whether the kernel has an acknowledgement (TIOCOUTQ); if not, and without an answer, the connection is aborted and the attempt may have run. One timer for all connections, which runs only while there are such queries. A kernel that has never told that all is acknowledged is not believed.

Tried and not taken: TCP_USER_TIMEOUT of 150 ms ends the connection only after two further sendings, 0.57 s later.

Test: test_query_whose_end_is_lost_on_its_way_is_not_sent_again, with such a filter; it failed before. A second one keeps an attempt out whose answer takes long.

--- a/tealsail/choices/query_ends.py
+++ b/tealsail/choices/query_ends.py
@@ -1,4 +1,5 @@
-"""How much of a query's end is held back from a unit, and when it is checked again whether the unit has room for it."""
+"""How much of a query's end is held back from a unit, when it is checked again whether the unit has room for it, and
+how long the last byte may be on its way."""
 
 from ..time_limits import MAX_HOLD_UP, TENTHS_PER_SECOND
 
@@ -6,6 +7,8 @@
 MIN_ROOM_CHECK_S = 0.001  # shortest time between checks
 MAX_ROOM_CHECK_S = 0.05  # longest time between checks
 ROOM_CHECK_PART = 0.25  # of the time waited so far, until the next check
+ARRIVAL_LIMIT_S = 0.15  # from the sending of a last byte until it is acknowledged; others delay that by up to 0.05 s
+ARRIVAL_CHECK_S = 0.025  # between checks; with the limit less than a kernel waits before it sends a lost byte again
 
 
 def may_tell(told_s: float) -> bool:
--- a/tealsail/net/kernel.py
+++ b/tealsail/net/kernel.py
@@ -41,6 +41,20 @@
     return any(events & select.POLLRDHUP for _, events in poll.poll(0))
 
 
+def has_acknowledged_all(transport: Any) -> bool:
+    """Whether the other side's machine has acknowledged all that was written; False where that is not told."""
+    connection = getattr(transport, "socket", None)
+    try:
+        return connection is not None and not unacknowledged_bytes(connection)
+    except (OSError, ValueError):  # ValueError: the socket is closed
+        return False
+
+
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """How many written bytes the other side's machine has not acknowledged; raises OSError where that is not told."""
+    return struct.unpack("i", fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+
+
 def peer_room(transport: Any) -> int | None:
     """How many more bytes the other side's machine takes in at once; None where the kernel does not tell.
 
@@ -52,7 +66,7 @@
         return None
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        (unacknowledged,) = struct.unpack("i", fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4)))
+        unacknowledged = unacknowledged_bytes(connection)
     except OSError:
         return None
     if len(info) < TCP_INFO_BYTES or not info[STATE_AT]:
--- a/tealsail/net/query_writer.py
+++ b/tealsail/net/query_writer.py
@@ -26,6 +26,9 @@
     def may_send(self) -> bool:
         """Whether the query may be sent now; if so, it counts as sent."""
 
+    def on_sent(self) -> None:
+        """The last byte of the query has been sent."""
+
     def on_refused(self, outcome: str, has_begun: bool) -> None:
         """The query will not be sent; `has_begun`: a part of it has been."""
 
@@ -120,6 +123,7 @@
         taken = kernel.write_now(self.transport, rest)
         if taken == len(rest):
             self.progress = Progress.COMPLETE
+            self.gate.on_sent()
         else:
             self.hold(rest[taken:], taken)
 
--- a/tealsail/net/shots.py
+++ b/tealsail/net/shots.py
@@ -86,6 +86,10 @@
         """Whether the query may be sent now; not to a closed pool, whose unit may be at another address by now."""
         return not self.pool.closed and self.owner.may_send()
 
+    def on_sent(self) -> None:
+        """The last byte of the query has been sent."""
+        self.pool.units.arrivals.add(self.connection, self.connection.writer)
+
     def on_refused(self, outcome: str, has_begun: bool) -> None:
         """The query will not be sent: the shot ends, and its connection too if it has a part of the query."""
         if self.is_over or self.connection.code:
--- a/tealsail/net/unit_connection.py
+++ b/tealsail/net/unit_connection.py
@@ -11,7 +11,7 @@
 from ..choices.pipelining import READ_BYTES, read_size
 from . import messages
 from .connections import OutgoingConnection
-from .kernel import peer_room, write_now
+from .kernel import has_acknowledged_all, peer_room, write_now
 from .messages import Value
 from .query_writer import QueryWriter
 from .statements import UnitQuery
@@ -62,6 +62,7 @@
         "load_reported",
         "writer",
         "tells_room",
+        "tells_arrival",
         "probe_answered",
         "setup_outcome",
         "description",
@@ -84,7 +85,8 @@
         # probe's answer has come, and only its ReadyForQuery is still due.
         self.is_set_up = self.load_reported = self.probe_answered = False
         self.writer: QueryWriter | None = None  # of the shot's query
-        self.tells_room = False  # whether the kernel tells how much the unit's machine takes in
+        # Whether the kernel tells how much the unit's machine takes in, and what it has acknowledged.
+        self.tells_room = self.tells_arrival = False
         self.setup_outcome = ""  # of an error during the setup
         self.description: messages.RowDescription | None = None
         self.row: messages.DataRow | None = None
@@ -158,6 +160,7 @@
             case messages.ReadyForQuery() if self.probe_answered:
                 shot, self.probing_shot, self.probe_answered = self.probing_shot, None, False
                 self.unasked_messages = 0
+                self.check_acknowledged()
                 shot.on_connection(self)
             case _:  # more of an earlier answer, which could be taken for the answer to the next query
                 raise messages.ProtocolError(f"{type(message).__name__} was not expected")
@@ -167,6 +170,7 @@
             case messages.ReadyForQuery():
                 self.is_set_up = True
                 self.tells_room = bool(peer_room(self.transport))  # there is room now, wherever it is told
+                self.check_acknowledged()
                 self.ready.callback(self)
             case messages.ErrorResponse(code, _):
                 self.setup_outcome = "full" if code == b"53300" else "unreachable"
@@ -203,6 +207,10 @@
         self.probing_shot = shot
         self.write(messages.query(b""))
 
+    def check_acknowledged(self) -> None:
+        """Note that the kernel tells of acknowledgements, once all that was written is acknowledged."""
+        self.tells_arrival = self.tells_arrival or has_acknowledged_all(self.transport)
+
     def send_query(self, shot: "Shot", query: UnitQuery) -> None:
         self.shot, self.load_reported = shot, False
         self.description = self.row = self.result = None
--- a/tealsail/net/units.py
+++ b/tealsail/net/units.py
@@ -11,6 +11,7 @@
 
 from ..choices.connection_lifetimes import choose_idle_connection, idle_limits
 from ..choices.memory_budget import DEFAULT_MEMORY, USED_AT_REST, ByteBudget, share_out
+from .arrivals import ArrivalWatch
 from .connections import connect
 from .counters import Counters
 from .shots import Shot, ShotOwner
@@ -124,6 +125,7 @@
         self.waiting: dict[Connection, None] = {}  # those whose large answer has no room yet, the oldest first
         self.connect_wait, self.max_connections = connect_wait, max_connections
         self.idle_limit, self.idle_check_interval = idle_limits(idle_time)
+        self.arrivals = ArrivalWatch(reactor)
         self.pools: dict[int, Pool] = {}
         self.identities: dict[int, tuple] = {}  # a listed unit's address, build and start
         self.retired: dict[Pool, None] = {}  # pools of units that have left the list, until their last shot
--- a/tests/test_query_ends.py
+++ b/tests/test_query_ends.py
@@ -1,6 +1,7 @@
 """The last byte of a query: it is sent while the rules allow it, whoever stands still meanwhile."""
 
 import array
+import ctypes
 import fcntl
 import json
 import re
@@ -8,11 +9,12 @@
 import socket
 import struct
 import termios
+import time
 from itertools import product
 
 from tealsail.choices.query_ends import MAX_HELD_BYTES
 
-from .crossing import Crossing, row
+from .crossing import EMPTY, NOTHING, Crossing, row
 from .fake import READY, STARTUP_RESPONSE, message
 from .test_relay import config, listing, reply, state, unit
 
@@ -20,6 +22,8 @@
 SMALL_BUFFER = 32_768  # bytes of a unit's receive buffer, which the kernel doubles
 MEMORY_S = 3.0  # of units for keyed requests, by the settings of `start`
 WRITE_MARGIN_S = 0.15  # before the memory's end in which nothing is sent, for a process that is held up
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27  # of asm-generic/socket.h
+RETURN_CONSTANT = 0x06  # instruction of a socket filter: how much of a packet is kept
 REFUSED, FAILED = b"C53300\0", b"C58000\0"
 
 
@@ -74,6 +78,10 @@
         self.run_turns()
         return unit_end
 
+    def pass_real_time(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        self.run_until(lambda: time.monotonic() > end)
+
     def run_turns(self) -> None:
         for _ in range(20):
             self.run_once()
@@ -326,6 +334,48 @@
         self.assertEqual(self.answer_to(client), row(b"v") + READY)
         self.assertEqual(self.relay.counters.counts["units.withheld"], 1)
 
+    def cut_off(self, unit_end: socket.socket) -> ctypes.Array:
+        """The unit's machine drops all that comes over this connection, and acknowledges nothing."""
+        drop_all = ctypes.create_string_buffer(struct.pack("HBBI", RETURN_CONSTANT, 0, 0, 0))
+        program = struct.pack("HP", 1, ctypes.addressof(drop_all))
+        unit_end.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        return drop_all
+
+    # Guards against a query that the kernel sends again whenever the way is open, long after the rules' time.
+    def test_query_whose_end_is_lost_on_its_way_is_not_sent_again(self) -> None:
+        self.start()
+        client = self.ask(size=1)
+        unit_end = self.accept(self.unit_side)
+        unit_end.sendall(STARTUP_RESPONSE)
+        self.receive_until(unit_end, b"*/\0")
+        unit_end.sendall(row(b"v") + READY)
+        self.assertEqual(self.answer_to(client), row(b"v") + READY)
+        self.pass_time(0.1)
+        client = self.ask(size=1)
+        self.receive_until(unit_end, EMPTY)
+        unit_end.sendall(NOTHING)
+        instruction = self.cut_off(unit_end)
+        self.run_turns()
+        self.pass_time(0.2)
+        self.assertIn(FAILED, self.answer_to(client))  # it may have come
+        unit_end.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        del instruction
+        self.pass_real_time(1.0)
+        self.assertEqual(self.read_all(unit_end), b"")  # at the most a reset
+        self.assertEqual(self.relay.counters.counts["units.not_arrived"], 1)
+
+    # Guards against the end of an attempt that its unit works on, and whose acknowledgement takes a moment.
+    def test_query_that_has_arrived_stays_out_however_long_its_answer_takes(self) -> None:
+        self.start()
+        client = self.ask(size=1)
+        unit_end = self.accept(self.unit_side)
+        unit_end.sendall(STARTUP_RESPONSE)
+        self.run_until(lambda: self.unread(unit_end) > 60)
+        self.pass_real_time(0.1)
+        self.pass_time(1.0)
+        unit_end.sendall(row(b"v") + READY)
+        self.assertEqual(self.answer_to(client), row(b"v") + READY)
+
     # Guards against an answer from a unit that has not got the whole query: no unit made it for that.
     def test_answer_before_the_end_of_the_query_is_not_passed_on(self) -> None:
         self.start()
