Check for acknowledgements by the kernel's clock, and read a socket's sending side in one place

What was seen: seven errors and two failures in tests.test_shutdown and tests.test_crossings: attempts were aborted as not arrived.

Cause: these tests move the relay's clock by seconds while no real time passes, and a kernel delays an acknowledgement by some 40 ms of its own clock. So the check took arrived queries for lost ones. A process whose clock runs apart from the kernel's would, too.

What the kernel knows of the sending side is read in net/send_state.py alone.

--- a/tealsail/net/arrivals.py
+++ b/tealsail/net/arrivals.py
@@ -8,8 +8,8 @@
 from typing import Any, NamedTuple
 
 from ..choices.query_ends import ARRIVAL_CHECK_S, ARRIVAL_LIMIT_S
-from .kernel import has_acknowledged_all
 from .query_writer import QueryWriter
+from .send_state import read_send_state
 from .unit_connection import Connection
 
 
@@ -22,11 +22,14 @@
 
 
 class ArrivalWatch:
-    """Checks each query once, ARRIVAL_LIMIT_S after its last byte was sent."""
+    """Checks each query that is not answered ARRIVAL_LIMIT_S after its last byte was sent.
+
+    That time has to have passed by the kernel's clock, too: acknowledgements go by that.
+    """
 
     def __init__(self, reactor: Any) -> None:
         self.reactor = reactor
-        self.sent: deque[SentQuery] = deque()  # of the last ARRIVAL_LIMIT_S and ARRIVAL_CHECK_S
+        self.sent: deque[SentQuery] = deque()  # the oldest first; each until it is answered or has arrived
         self.timer: Any = None
 
     def add(self, connection: Connection, writer: QueryWriter) -> None:
@@ -38,13 +41,22 @@
     def check(self) -> None:
         """End the connections whose query has not arrived in time; repeats itself while there are queries to check."""
         now = self.reactor.seconds()
+        due = []
         while self.sent and self.sent[0].at <= now - ARRIVAL_LIMIT_S:
-            self.check_one(self.sent.popleft())
+            due.append(self.sent.popleft())
+        self.sent.extendleft(query for query in reversed(due) if self.is_under_way(query))
         self.timer = self.reactor.callLater(ARRIVAL_CHECK_S, self.check) if self.sent else None
 
-    def check_one(self, query: SentQuery) -> None:
+    def is_under_way(self, query: SentQuery) -> bool:
+        """Whether a query has to be checked again: it is not acknowledged, but may be yet."""
         connection = query.connection
-        is_unanswered = connection.writer is query.writer
-        if is_unanswered and connection.tells_arrival and not has_acknowledged_all(connection.transport):
-            connection.counters.add("units.not_arrived")
-            connection.end("not_arrived")
+        if connection.writer is not query.writer or not connection.tells_arrival:
+            return False
+        state = read_send_state(connection.transport)
+        if state is None or not state.unacknowledged:
+            return False
+        if state.since_sent_s < ARRIVAL_LIMIT_S and not state.is_resending:
+            return True
+        connection.counters.add("units.not_arrived")
+        connection.end("not_arrived")
+        return False
--- a/tealsail/net/kernel.py
+++ b/tealsail/net/kernel.py
@@ -3,24 +3,14 @@
 Connections and ports in memory, as tests use them, have no socket; for these the functions find nothing or do nothing.
 """
 
-import fcntl
 import select
 import socket
-import struct
-import termios
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-# Of Linux's struct tcp_info (linux/tcp.h): the bytes up to the peer's window, and where the fields are.
-TCP_INFO_BYTES = 232
-STATE_AT = 0
-RETRANSMITS_AT = 2  # of the oldest byte that is not acknowledged
-PEER_WINDOW_AT = 228
-ESTABLISHED = 1  # a connection of which no side has ended its half
-
 
 def has_unread_bytes(transport: Any) -> bool:
     """Whether received bytes wait in the kernel.  An end of the stream that waits does not count."""
@@ -41,42 +31,6 @@
     return any(events & select.POLLRDHUP for _, events in poll.poll(0))
 
 
-def has_acknowledged_all(transport: Any) -> bool:
-    """Whether the other side's machine has acknowledged all that was written; False where that is not told."""
-    connection = getattr(transport, "socket", None)
-    try:
-        return connection is not None and not unacknowledged_bytes(connection)
-    except (OSError, ValueError):  # ValueError: the socket is closed
-        return False
-
-
-def unacknowledged_bytes(connection: socket.socket) -> int:
-    """How many written bytes the other side's machine has not acknowledged; raises OSError where that is not told."""
-    return struct.unpack("i", fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
-
-
-def peer_room(transport: Any) -> int | None:
-    """How many more bytes the other side's machine takes in at once; None where the kernel does not tell.
-
-    Bytes that were written take up room until they are acknowledged.  There is none while an earlier byte is lost on
-    its way, nor once the other side has ended its half.
-    """
-    connection = getattr(transport, "socket", None)
-    if connection is None:
-        return None
-    try:
-        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        unacknowledged = unacknowledged_bytes(connection)
-    except OSError:
-        return None
-    if len(info) < TCP_INFO_BYTES or not info[STATE_AT]:
-        return None
-    if info[STATE_AT] != ESTABLISHED or info[RETRANSMITS_AT]:
-        return 0
-    (window,) = struct.unpack_from("I", info, PEER_WINDOW_AT)
-    return max(0, window - unacknowledged)
-
-
 def write_now(transport: Any, data: bytes) -> int:
     """Give the kernel this data in this call, and return how many bytes it took.
 
--- a/tealsail/net/query_writer.py
+++ b/tealsail/net/query_writer.py
@@ -9,8 +9,9 @@
 from typing import Any, Protocol
 
 from ..choices.query_ends import MAX_HELD_BYTES, may_tell, room_check_delay
-from . import kernel
 from .connections import cancel
+from .kernel import write_now
+from .send_state import read_send_state
 from .statements import UnitQuery
 
 
@@ -101,9 +102,9 @@
         """Whether the unit's machine takes in at once all that is left."""
         if not self.tells_room:
             return True
-        room = kernel.peer_room(self.transport)
+        state = read_send_state(self.transport)
         left = self.query.length if self.progress == Progress.NOT_BEGUN else len(self.rest())
-        return room is None or left <= room
+        return state is None or left <= state.room()
 
     def is_up_to_date(self) -> bool:
         """Whether the time to wait that the message tells is made when it is sent, or a moment ago."""
@@ -120,7 +121,7 @@
         if not self.is_up_to_date() or not self.gate.may_send():
             return self.refuse("moot")
         rest = self.rest()
-        taken = kernel.write_now(self.transport, rest)
+        taken = write_now(self.transport, rest)
         if taken == len(rest):
             self.progress = Progress.COMPLETE
             self.gate.on_sent()
--- a/tealsail/net/unit_connection.py
+++ b/tealsail/net/unit_connection.py
@@ -11,9 +11,10 @@
 from ..choices.pipelining import READ_BYTES, read_size
 from . import messages
 from .connections import OutgoingConnection
-from .kernel import has_acknowledged_all, peer_room, write_now
+from .kernel import write_now
 from .messages import Value
 from .query_writer import QueryWriter
+from .send_state import read_send_state
 from .statements import UnitQuery
 
 if TYPE_CHECKING:
@@ -160,7 +161,7 @@
             case messages.ReadyForQuery() if self.probe_answered:
                 shot, self.probing_shot, self.probe_answered = self.probing_shot, None, False
                 self.unasked_messages = 0
-                self.check_acknowledged()
+                self.learn_what_is_told()
                 shot.on_connection(self)
             case _:  # more of an earlier answer, which could be taken for the answer to the next query
                 raise messages.ProtocolError(f"{type(message).__name__} was not expected")
@@ -169,8 +170,7 @@
         match message:
             case messages.ReadyForQuery():
                 self.is_set_up = True
-                self.tells_room = bool(peer_room(self.transport))  # there is room now, wherever it is told
-                self.check_acknowledged()
+                self.learn_what_is_told()
                 self.ready.callback(self)
             case messages.ErrorResponse(code, _):
                 self.setup_outcome = "full" if code == b"53300" else "unreachable"
@@ -207,9 +207,12 @@
         self.probing_shot = shot
         self.write(messages.query(b""))
 
-    def check_acknowledged(self) -> None:
-        """Note that the kernel tells of acknowledgements, once all that was written is acknowledged."""
-        self.tells_arrival = self.tells_arrival or has_acknowledged_all(self.transport)
+    def learn_what_is_told(self) -> None:
+        """Between two queries there is room, and soon all is acknowledged: once the kernel says so, it is believed."""
+        if not self.tells_arrival:
+            state = read_send_state(self.transport)
+            self.tells_room = state is not None and state.room() > 0
+            self.tells_arrival = self.tells_room and not state.unacknowledged
 
     def send_query(self, shot: "Shot", query: UnitQuery) -> None:
         self.shot, self.load_reported = shot, False
--- a/tests/test_query_ends.py
+++ b/tests/test_query_ends.py
@@ -341,6 +341,11 @@
         unit_end.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
         return drop_all
 
+    def has_come(self, client: socket.socket) -> bool:
+        """Whether an answer has come; the relay's clock goes on by 10 ms, about as long as the loop waits then."""
+        self.now += 0.01
+        return bool(select.select([client], [], [], 0)[0])
+
     # Guards against a query that the kernel sends again whenever the way is open, long after the rules' time.
     def test_query_whose_end_is_lost_on_its_way_is_not_sent_again(self) -> None:
         self.start()
@@ -355,8 +360,7 @@
         self.receive_until(unit_end, EMPTY)
         unit_end.sendall(NOTHING)
         instruction = self.cut_off(unit_end)
-        self.run_turns()
-        self.pass_time(0.2)
+        self.run_until(lambda: self.has_come(client))
         self.assertIn(FAILED, self.answer_to(client))  # it may have come
         unit_end.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
         del instruction
