--- a/tealsail/choices/query_ends.py
+++ b/tealsail/choices/query_ends.py
@@ -1,9 +1,12 @@
-"""How much of a query's end is held back from a unit, when it is checked again whether the unit has room for it, and
-how long the last byte may be on its way."""
+"""How much of a query's end is held back from a unit, when it is checked again whether it may leave, and how long the
+last byte may be on its way."""
 
 from ..time_limits import MAX_HOLD_UP, TENTHS_PER_SECOND
 
-MAX_HELD_BYTES = 1_000  # of a query's end; under the smallest receive window that a Linux socket has
+# Under the smallest receive window of a Linux socket: a unit that has read what came before has room for so much.
+ALWAYS_ROOM_BYTES = 1_000
+MAX_HELD_BYTES = ALWAYS_ROOM_BYTES  # of a query's end
+UNREAD_CHECK_S = 0.02  # for which it counts that nothing was unread: less than what every rule allows from news on
 MIN_ROOM_CHECK_S = 0.001  # shortest time between checks
 MAX_ROOM_CHECK_S = 0.05  # longest time between checks
 ROOM_CHECK_PART = 0.25  # of the time waited so far, until the next check
--- a/tealsail/lab/soak/relay_process.py
+++ b/tealsail/lab/soak/relay_process.py
@@ -136,8 +136,16 @@
 class RelayProcess:
     """A relay that is started with the command of the deploy file, and killed once it is over its memory."""
 
-    def __init__(self, index: int, folder: Path, limits: Limits, discovery: Discovery, platform: Platform) -> None:
-        self.index, self.folder, self.limits = index, folder, limits
+    def __init__(
+        self,
+        index: int,
+        folder: Path,
+        limits: Limits,
+        discovery: Discovery,
+        platform: Platform,
+        checkout: Path = CHECKOUT,
+    ) -> None:
+        self.index, self.folder, self.limits, self.checkout = index, folder, limits, checkout
         self.discovery, self.platform = discovery, platform
         self.port = free_port()
         self.peers = [self.port]
@@ -164,7 +172,7 @@
                 "-m",
                 "tealsail",
                 "serve",
-                cwd=CHECKOUT,
+                cwd=self.checkout,
                 env=environment | {"EDGE_CONFIG": str(path)},
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
--- a/tealsail/net/arrivals.py
+++ b/tealsail/net/arrivals.py
@@ -8,17 +8,16 @@
 from typing import Any, NamedTuple
 
 from ..choices.query_ends import ARRIVAL_CHECK_S, ARRIVAL_LIMIT_S
-from .query_writer import QueryWriter
 from .send_state import read_send_state
 from .unit_connection import Connection
 
 
 class SentQuery(NamedTuple):
-    """A query whose last byte has been sent at that time, in seconds."""
+    """A query whose last byte has been sent at that time, in seconds: its connection's query of that number."""
 
     at: float
     connection: Connection
-    writer: QueryWriter
+    number: int
 
 
 class ArrivalWatch:
@@ -32,9 +31,9 @@
         self.sent: deque[SentQuery] = deque()  # the oldest first; each until it is answered or has arrived
         self.timer: Any = None
 
-    def add(self, connection: Connection, writer: QueryWriter) -> None:
-        """The last byte of a query was sent."""
-        self.sent.append(SentQuery(self.reactor.seconds(), connection, writer))
+    def add(self, connection: Connection) -> None:
+        """The last byte of a connection's query was sent."""
+        self.sent.append(SentQuery(self.reactor.seconds(), connection, connection.query_number))
         if self.timer is None:
             self.timer = self.reactor.callLater(ARRIVAL_CHECK_S, self.check)
 
@@ -50,7 +49,7 @@
     def is_under_way(self, query: SentQuery) -> bool:
         """Whether a query has to be checked again: it is not acknowledged, but may be yet."""
         connection = query.connection
-        if connection.writer is not query.writer or not connection.tells_arrival:
+        if connection.query_number != query.number or not connection.shot or not connection.tells_arrival:
             return False
         state = read_send_state(connection.transport)
         if state is None or not state.unacknowledged:
--- a/tealsail/net/invocation.py
+++ b/tealsail/net/invocation.py
@@ -9,6 +9,7 @@
 
 from ..choices.clock import TENTHS_PER_SECOND
 from ..choices.memory_budget import request_cost
+from ..choices.query_ends import UNREAD_CHECK_S
 from ..choices.recent_ids import must_be_remembered
 from ..facade import ClientLeft, Forfeit, Outcome, Reject, SendShot, Step
 from ..policy import OUTCOMES_NOT_RUN
@@ -33,6 +34,8 @@
         self.cost = request_cost(len(statement.text_before_wait) + len(statement.text_after_wait) + len(statement.key))
         relay.requests.add(self.cost)
         self.shots: dict[int, Shot] = {}  # those without an outcome, by shot number
+        # Seconds of the reactor's clock; until then the client counts as waiting.  The caller has just looked.
+        self.client_waits_until = relay.reactor.seconds() + UNREAD_CHECK_S
         self.may_have_run = self.has_client_left = False  # `may_have_run`: one of its shots
         self.number, step = relay.facade.pick(
             statement.workload,
@@ -110,8 +113,12 @@
 
     def check_client(self) -> bool:
         """Whether the client still waits, as far as the kernel knows; if not, the invocation ends now."""
-        if not self.is_over and self.has_client_closed():
+        now = self.relay.reactor.seconds()
+        if self.is_over or now < self.client_waits_until:
+            return not self.is_over
+        if self.has_client_closed():
             self.answer.cancel()
+        self.client_waits_until = now + UNREAD_CHECK_S
         return not self.is_over
 
     def cancel_shot(self, shot_number: int) -> None:
--- a/tealsail/net/messages.py
+++ b/tealsail/net/messages.py
@@ -318,7 +318,6 @@
 
 
 QUERY_END = b"\0"  # behind the text of a query
-LENGTH_BYTES = 4  # of a message's length, which counts itself
 
 
 def query(text: bytes) -> bytes:
@@ -326,14 +325,9 @@
     return message(b"Q", text + QUERY_END)
 
 
-def query_length(text_length: int) -> int:
-    """The length of the whole message of a simple query."""
-    return len(b"Q") + LENGTH_BYTES + text_length + len(QUERY_END)
-
-
-def query_head(length: int) -> bytes:
-    """What comes before the text of a simple query whose whole message has that length."""
-    return b"Q" + struct.pack(">I", length - len(b"Q"))
+def query_head(text_length: int) -> bytes:
+    """What comes before the text of a simple query."""
+    return b"Q" + struct.pack(">I", text_length + len(QUERY_END) + 4)
 
 
 def error_response(code: str, text: str, retry_after: int | None = None, fatal: bool = False) -> bytes:
--- a/tealsail/net/query_writer.py
+++ b/tealsail/net/query_writer.py
@@ -8,7 +8,7 @@
 from enum import Enum, auto
 from typing import Any, Protocol
 
-from ..choices.query_ends import MAX_HELD_BYTES, may_tell, room_check_delay
+from ..choices.query_ends import ALWAYS_ROOM_BYTES, MAX_HELD_BYTES, may_tell, room_check_delay
 from .connections import cancel
 from .kernel import write_now
 from .send_state import read_send_state
@@ -78,33 +78,40 @@
     def advance(self) -> None:
         """Write all if the unit's machine has room for it, else all but the end; or check again later."""
         cancel(self.timer)
-        waited = self.reactor.seconds() - self.waits_since
-        if self.progress != Progress.START_WRITTEN and self.has_room():
-            self.send_rest()
-        elif not self.is_up_to_date():
-            self.refuse("moot")
-        elif outcome := self.gate.why_stop(waited):
-            self.refuse(outcome)
-        elif self.progress != Progress.NOT_BEGUN:
-            self.check_later(room_check_delay(waited))
-        elif self.gate.is_informed():
-            self.write_start()
+        if self.progress == Progress.START_WRITTEN:
+            return self.wait()
+        rest = self.rest()
+        if self.has_room(len(rest)):
+            self.send(rest)
         else:
-            self.check_later(0)
+            self.wait()
 
     def rest(self) -> bytes:
         """What is still to be written."""
         if self.progress == Progress.NOT_BEGUN:
-            return self.query.start() + self.query.end()
+            return self.query.whole()
         return self.query.end() if self.end is None else self.end
 
-    def has_room(self) -> bool:
+    def has_room(self, length: int) -> bool:
         """Whether the unit's machine takes in at once all that is left."""
-        if not self.tells_room:
+        if not self.tells_room or (self.progress == Progress.NOT_BEGUN and length <= ALWAYS_ROOM_BYTES):
             return True
         state = read_send_state(self.transport)
-        left = self.query.length if self.progress == Progress.NOT_BEGUN else len(self.rest())
-        return state is None or left <= state.room()
+        return state is None or length <= state.room()
+
+    def wait(self) -> None:
+        """There is no room for the rest yet: write the start, or check again later, or give up."""
+        waited = self.reactor.seconds() - self.waits_since
+        if not self.is_up_to_date():
+            self.refuse("moot")
+        elif outcome := self.gate.why_stop(waited):
+            self.refuse(outcome)
+        elif self.progress != Progress.NOT_BEGUN:
+            self.check_later(room_check_delay(waited))
+        elif self.gate.is_informed():
+            self.write_start()
+        else:
+            self.check_later(0)
 
     def is_up_to_date(self) -> bool:
         """Whether the time to wait that the message tells is made when it is sent, or a moment ago."""
@@ -114,13 +121,12 @@
         """The query will not be sent."""
         self.gate.on_refused(outcome, self.progress != Progress.NOT_BEGUN)
 
-    def send_rest(self) -> None:
+    def send(self, rest: bytes) -> None:
         """Ask the gate, and write all that is left in the same call."""
         if not self.gate.is_informed():
             return self.check_later(0)
         if not self.is_up_to_date() or not self.gate.may_send():
             return self.refuse("moot")
-        rest = self.rest()
         taken = write_now(self.transport, rest)
         if taken == len(rest):
             self.progress = Progress.COMPLETE
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -21,6 +21,7 @@
     share_out,
 )
 from ..choices.open_ahead import connections_to_open, opening_delay
+from ..choices.query_ends import UNREAD_CHECK_S
 from ..choices.rate_limits import RateLimiter, count_message_limits
 from ..choices.recent_ids import RecentIds
 from ..facade import (
@@ -153,6 +154,7 @@
         self.peer_listener: Any = None
         self.timer: Any = None  # of the next tick
         self.open_ahead_timer: Any = None  # of the opening of connections to units on trial
+        self.news_read_until = 0.0  # seconds of the reactor's clock; until then all news counts as read
         self.duties: tuple[int, ...] = ()  # the indexes of the load tracker and the judges, as last logged
         self.clock_check_timer: Any = None
         self.memory = (
@@ -311,7 +313,13 @@
 
     def has_unread_news(self) -> bool:
         """Whether the kernel holds news of discovery or the platform, which count as known once they have arrived."""
-        return self.discovery.has_unread_data() or self.platform.has_unread_data()
+        now = self.reactor.seconds()
+        if now < self.news_read_until:
+            return False
+        if self.discovery.has_unread_data() or self.platform.has_unread_data():
+            return True
+        self.news_read_until = now + UNREAD_CHECK_S
+        return False
 
     def deadline(self, statement: Statement, at: int) -> int:
         """When the client of a query that came at `at` has to have its answer, in tenths of a ms of the relay's clock.
--- a/tealsail/net/shots.py
+++ b/tealsail/net/shots.py
@@ -88,7 +88,7 @@
 
     def on_sent(self) -> None:
         """The last byte of the query has been sent."""
-        self.pool.units.arrivals.add(self.connection, self.connection.writer)
+        self.pool.units.arrivals.add(self.connection)
 
     def on_refused(self, outcome: str, has_begun: bool) -> None:
         """The query will not be sent: the shot ends, and its connection too if it has a part of the query."""
--- a/tealsail/net/statements.py
+++ b/tealsail/net/statements.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from .messages import QUERY_END, query_head, query_length
+from .messages import QUERY_END, query_head
 
 # Possessive, since a pattern that may come back keeps some hundred bytes for each character of the literal.
 LITERAL = rb"'((?:[^']++|'')*+)'"
@@ -96,27 +96,35 @@
 class UnitQuery:
     """A statement as the query message for a unit, in which only the time to wait is replaced.
 
-    It is made in two parts, since the second may be sent much later than the first and then tells a shorter time, in as
-    many digits.
+    Its end begins with that time.  It may be sent much later than the start, and then tells the time that is left then,
+    in as many digits.
     """
 
-    __slots__ = "statement", "wait_left", "digits", "length"
+    __slots__ = "statement", "wait_left", "digits"
 
     def __init__(self, statement: Statement, wait_left: Callable[[], int]) -> None:
         """`wait_left` gives the time to wait from now on, in whole milliseconds; it never grows."""
         self.statement, self.wait_left = statement, wait_left
-        self.digits = len(b"%d" % wait_left())
-        text_length = len(statement.text_before_wait) + self.digits + len(statement.text_after_wait)
-        self.length = query_length(text_length)  # of the whole message, in bytes
+        self.digits = 0  # of the time to wait; 0 until it was first made
 
-    def text(self) -> bytes:
-        """The text of the query alone."""
-        return self.statement.text_before_wait + self.end()[: -len(QUERY_END)]
+    def whole(self) -> bytes:
+        """The message, with the time to wait from now on."""
+        end = self.end()
+        return self.start() + end
 
     def start(self) -> bytes:
         """The message up to the time to wait."""
-        return query_head(self.length) + self.statement.text_before_wait
+        digits = self.digits or len(b"%d" % self.wait_left())
+        before, after = self.statement.text_before_wait, self.statement.text_after_wait
+        self.digits = digits
+        return query_head(len(before) + digits + len(after)) + before
 
     def end(self) -> bytes:
-        """The rest, with the time to wait from now on."""
-        return b"%0*d" % (self.digits, self.wait_left()) + self.statement.text_after_wait + QUERY_END
+        """The rest of the message, with the time to wait from now on."""
+        wait = b"%0*d" % (self.digits, self.wait_left())
+        self.digits = len(wait)
+        return wait + self.statement.text_after_wait + QUERY_END
+
+    def text(self) -> bytes:
+        """The text of the query alone."""
+        return self.statement.text_before_wait + self.end()[: -len(QUERY_END)]
--- a/tealsail/net/unit_connection.py
+++ b/tealsail/net/unit_connection.py
@@ -62,6 +62,7 @@
         "is_set_up",
         "load_reported",
         "writer",
+        "query_number",
         "tells_room",
         "tells_arrival",
         "probe_answered",
@@ -86,6 +87,7 @@
         # probe's answer has come, and only its ReadyForQuery is still due.
         self.is_set_up = self.load_reported = self.probe_answered = False
         self.writer: QueryWriter | None = None  # of the shot's query
+        self.query_number = 0  # of that query on this connection
         # Whether the kernel tells how much the unit's machine takes in, and what it has acknowledged.
         self.tells_room = self.tells_arrival = False
         self.setup_outcome = ""  # of an error during the setup
@@ -216,6 +218,7 @@
 
     def send_query(self, shot: "Shot", query: UnitQuery) -> None:
         self.shot, self.load_reported = shot, False
+        self.query_number += 1
         self.description = self.row = self.result = None
         self.writer = QueryWriter(self.pool.reactor, self.transport, query, shot, self.tells_room)
         self.writer.advance()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -66,8 +66,7 @@
 
 
 def query_for_unit(statement: statements.Statement, wait: int) -> bytes:
-    query = statements.UnitQuery(statement, lambda: wait)
-    return query.start() + query.end()
+    return statements.UnitQuery(statement, lambda: wait).whole()
 
 
 class Statements(unittest.TestCase):
