Take off the time for which a request waited while the relay stood still

What would be seen: a request that came while the relay's process stood still has its whole time again once it is read: its unit is told up to 1.4 s more than is left (0.15 s are allowed), and attempts begin after the client's time.

Cause: the time of a request began when the event loop read it.

Change: after 0.1 s or more in which nothing ran, a request counts from when the kernel received the connection's last data (tcp_info), at the earliest from the last call before. In all other cases from when it is read, as before. What is read of tcp_info is in net/tcp_state.py (send_state.py before).

Tests: a request told 0.4 s less, one rejected at once, and one after an idle time that keeps its whole time, on real sockets; the rule on its own in test_clock. The first two failed before.

--- a/tealsail/choices/clock.py
+++ b/tealsail/choices/clock.py
@@ -12,6 +12,9 @@
 TENTHS_PER_SECOND = 10_000  # tenths of a ms
 MIN_STEP_S = 0.2  # between two checks: a larger difference of the clocks is a step, a smaller one is followed
 MIN_GAP_S = 2.0  # without a call: something runs each half second
+# Without a call: what came meanwhile may have waited, if the process stood still.  Rules allow for shorter waits.
+MIN_WAIT_S = 0.1
+MAX_READ_TIME_S = 1.0  # after such a time, until all that came meanwhile has been read
 
 
 class Clock:
@@ -28,16 +31,35 @@
         # Whole tenths of a ms: a float of Unix time is too coarse to add to.
         self.start, self.base, self.last = steady(), int(wall() * TENTHS_PER_SECOND), 0
         self.ran = self.start  # when something last ran, as far as is known; seconds of the steady clock
+        # The last time of MIN_WAIT_S or more without a call, in seconds of the steady clock.
+        self.gap_began = self.gap_ended = self.start - MAX_READ_TIME_S
         self.ahead = 0.0  # seconds by which the wall clock is ahead of monotonic time
 
     def __call__(self) -> int:
         steady = self.steady()
         gap, self.ran = steady - self.ran, steady
+        if gap >= MIN_WAIT_S:
+            self.gap_began, self.gap_ended = steady - gap, steady
         self.last = max(self.last, self.base + int((steady - self.start) * TENTHS_PER_SECOND + 0.01))
         if gap > MIN_GAP_S and self.on_gap:
             self.on_gap(gap)
         return self.last
 
+    def may_have_waited(self) -> bool:
+        """Whether what is read now may have come in a time in which the process did not run."""
+        return self.ran - self.gap_ended < MAX_READ_TIME_S
+
+    def arrival(self, age: float) -> int:
+        """When something came that has been here for so many seconds by the kernel's clock, and is read now.
+
+        Without a time in which the process did not run it is read at once, so that is now.
+        """
+        now = self()
+        waited = min(age, self.ran - self.gap_began)
+        if waited < MIN_WAIT_S or self.ran - waited > self.gap_ended:
+            return now
+        return now - int(waited * TENTHS_PER_SECOND)
+
     def measure_step(self) -> float:
         """Compares the clocks: the seconds by which the wall clock has stepped ahead since the last call (below zero:
         back), 0 for no step.  Call it about once a second."""
--- a/tealsail/net/arrivals.py
+++ b/tealsail/net/arrivals.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from ..choices.query_ends import ARRIVAL_CHECK_S, ARRIVAL_LIMIT_S
-from .send_state import read_send_state
+from .tcp_state import read_send_state
 from .unit_connection import Connection
 
 
--- a/tealsail/net/client_connection.py
+++ b/tealsail/net/client_connection.py
@@ -47,7 +47,7 @@
 
 
 class ReceivedQuery(NamedTuple):
-    """A query, and when it came."""
+    """A query, and when it came to this machine."""
 
     text: bytes
     at: int
@@ -80,6 +80,7 @@
 
     reactor: Any
     clock: Callable[[], int]
+    arrival: Callable[[Any], int]  # when what a transport delivers has come to this machine
     counters: Counters
     take: Callable[[statements.Statement, int, Callable[[], bool]], Deferred[Answer]]
     turns: Turns
@@ -305,7 +306,7 @@
                 self.refuse_query()
             case messages.Query(text) if not self.skips_to_sync:
                 self.has_queried = True
-                self.enqueue(ReceivedQuery(text, self.clients.clock()))
+                self.enqueue(ReceivedQuery(text, self.clients.arrival(self.transport)))
                 self.queued_queries += 1
                 if self.queued_queries > MAX_QUEUED_QUERIES:
                     self.end_flood()
--- a/tealsail/net/clients.py
+++ b/tealsail/net/clients.py
@@ -55,9 +55,13 @@
         max_connections: int,
         requests: ByteBudget | None = None,
         answers: ByteBudget | None = None,
+        arrival: Callable[[Any], int] | None = None,
     ) -> None:
-        """What the requests and the answers of all clients hold is by default as in a process of DEFAULT_MEMORY."""
+        """What the requests and the answers of all clients hold is by default as in a process of DEFAULT_MEMORY.
+
+        `arrival` tells when what a transport delivers has come to this machine; by default that is now."""
         self.reactor, self.take, self.clock, self.counters = reactor, take, clock, counters
+        self.arrival = arrival or (lambda transport: clock())
         self.max_connections = max_connections
         shares = share_out(DEFAULT_MEMORY, USED_AT_REST)
         self.requests = requests or ByteBudget(shares.requests)
--- a/tealsail/net/query_writer.py
+++ b/tealsail/net/query_writer.py
@@ -11,8 +11,8 @@
 from ..choices.query_ends import ALWAYS_ROOM_BYTES, MAX_HELD_BYTES, may_tell, room_check_delay
 from .connections import cancel
 from .kernel import write_now
-from .send_state import read_send_state
 from .statements import UnitQuery
+from .tcp_state import read_send_state
 
 
 class QueryGate(Protocol):
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -50,6 +50,7 @@
 from .relay_configuration import RelayConfiguration
 from .shutdown import Shutdown
 from .statements import Statement, StatementError
+from .tcp_state import seconds_since_received
 from .units import Units
 
 LIST_PATH = "/catalog/members"
@@ -108,7 +109,14 @@
             self.answers,
         )
         self.clients = Clients(
-            reactor, self.take, self.clock, self.counters, max_connections, self.requests, self.answers
+            reactor,
+            self.take,
+            self.clock,
+            self.counters,
+            max_connections,
+            self.requests,
+            self.answers,
+            self.arrival,
         )
         jitter = RandomGenerator(stable_hash(configuration.seed, relay_settings.get("index", 0)))
         # The number of relays, and the seconds within which each asks for the list.
@@ -311,6 +319,13 @@
         self.schedule_tick()
         return answer
 
+    def arrival(self, transport: Any) -> int:
+        """When the data that a transport delivers now came to this machine, by the relay's clock: it may have waited
+        while the process stood still."""
+        now = self.clock()
+        age = seconds_since_received(transport) if self.clock.may_have_waited() else None
+        return now if age is None else self.clock.arrival(age)
+
     def has_unread_news(self) -> bool:
         """Whether the kernel holds news of discovery or the platform, which count as known once they have arrived."""
         now = self.reactor.seconds()
--- a/tealsail/net/send_state.py
+++ b/tealsail/net/tcp_state.py
@@ -1,4 +1,5 @@
-"""What the kernel knows of the bytes that were written to a connection: what has arrived, and what there is room for.
+"""What the kernel knows of a connection: what of the written bytes has arrived, what there is room for, and when data
+came.
 
 Connections in memory, as tests use them, have no socket; of these nothing is known.
 """
@@ -14,6 +15,7 @@
 STATE_AT = 0
 RETRANSMITS_AT = 2  # of the oldest byte that is not acknowledged
 SINCE_SENT_AT = 44  # milliseconds, by the kernel's clock
+SINCE_RECEIVED_AT = 52  # the same for data that came
 PEER_WINDOW_AT = 228
 UINT32 = struct.Struct("I")
 INT = struct.Struct("i")
@@ -39,17 +41,32 @@
         return max(0, self.window - self.unacknowledged)
 
 
-def read_send_state(transport: Any) -> SendState | None:
-    """The state of a transport's connection; None where the kernel does not tell it."""
+def read_tcp_info(transport: Any) -> bytes | None:
+    """The kernel's tcp_info of a transport's connection; None where the kernel does not tell it."""
     connection = getattr(transport, "socket", None)
     if connection is None:
         return None
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        (unacknowledged,) = INT.unpack(fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(INT.size)))
-    except (OSError, ValueError):  # ValueError: the socket is closed
+    except OSError:
+        return None
+    return info if len(info) == TCP_INFO_BYTES and info[STATE_AT] else None
+
+
+def seconds_since_received(transport: Any) -> float | None:
+    """How long ago the last data came, by the kernel's clock; None where it does not tell."""
+    info = read_tcp_info(transport)
+    return None if info is None else UINT32.unpack_from(info, SINCE_RECEIVED_AT)[0] / 1000
+
+
+def read_send_state(transport: Any) -> SendState | None:
+    """The sending side of a transport's connection; None where the kernel does not tell it."""
+    info = read_tcp_info(transport)
+    if info is None:
         return None
-    if len(info) < TCP_INFO_BYTES or not info[STATE_AT]:
+    try:
+        (unacknowledged,) = INT.unpack(fcntl.ioctl(transport.socket.fileno(), termios.TIOCOUTQ, bytes(INT.size)))
+    except (OSError, ValueError):  # ValueError: the socket is closed
         return None
     return SendState(
         info[STATE_AT] == ESTABLISHED,
--- a/tealsail/net/unit_connection.py
+++ b/tealsail/net/unit_connection.py
@@ -14,8 +14,8 @@
 from .kernel import write_now
 from .messages import Value
 from .query_writer import QueryWriter
-from .send_state import read_send_state
 from .statements import UnitQuery
+from .tcp_state import read_send_state
 
 if TYPE_CHECKING:
     from .shots import Shot
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -52,6 +52,29 @@
         clocks.run(5)
         self.assertEqual((clocks.clock.measure_step(), clocks.clock() - before, clocks.gaps), (0.0, 5 * SECOND, []))
 
+    def test_what_waited_while_nothing_ran_came_as_long_ago_as_the_kernel_says(self) -> None:
+        """Guards against a request that has its whole time again, since it was read late by a process that stood still,
+        and against one that loses time since the process was only idle."""
+        clocks = FakeClocks()
+        self.run_in_small_steps(clocks)
+        self.assertEqual(clocks.clock.arrival(0.4), clocks.clock())  # nothing stood still
+        clocks.steady += 1.0
+        clocks.clock()
+        self.assertTrue(clocks.clock.may_have_waited())
+        clocks.steady += 0.01
+        now = clocks.clock()
+        for age, waited in ((0.005, 0), (0.05, 0), (0.4, 4_000), (30.0, 10_100)):
+            self.assertAlmostEqual(now - clocks.clock.arrival(age), waited, delta=1)
+        clocks.steady += 0.09
+        self.assertEqual(clocks.clock.arrival(0.08), clocks.clock())  # it came after that
+        self.run_in_small_steps(clocks)
+        self.assertFalse(clocks.clock.may_have_waited())
+
+    def run_in_small_steps(self, clocks: FakeClocks) -> None:
+        for _ in range(40):
+            clocks.steady += 0.05
+            clocks.clock()
+
     def test_a_gap_is_reported_before_the_caller_goes_on(self) -> None:
         clocks = FakeClocks()
         clocks.run(2)
--- a/tests/test_query_ends.py
+++ b/tests/test_query_ends.py
@@ -116,6 +116,17 @@
         self.now += seconds
         return bytes(received)
 
+    def stand_still_for(self, seconds: float) -> None:
+        """The relay's process does not run for so long; its clock and the kernel's go on."""
+        select.select([], [], [], seconds)
+        self.now += seconds
+
+    def accept_query_text(self) -> bytes:
+        """What the unit receives of a query that fits into its buffer."""
+        unit_end = self.accept_startup()
+        unit_end.sendall(STARTUP_RESPONSE)
+        return self.receive_until(unit_end, b"*/\0")
+
     def answer_to(self, client: socket.socket) -> bytes:
         return self.receive_until(client, READY)
 
@@ -276,6 +287,33 @@
         unit_end.sendall(row(b"v") + READY)
         self.assertEqual(self.answer_to(client), row(b"v") + READY)
 
+    # Guards against a unit that is told the whole time of a request which waited while the relay stood still.
+    def test_time_for_which_a_request_waited_for_a_relay_that_stood_still_counts(self) -> None:
+        self.start()
+        client = self.ask("basket", size=1, wait=1500)
+        self.stand_still_for(0.4)
+        unit_end = self.accept_query_text()
+        told = int(re.search(rb",d=(\d+)", unit_end)[1])
+        self.assertLessEqual(told, 1150)
+        self.assertGreater(told, 1000)
+        client.close()
+
+    # Guards against such a request that is begun though its client's time is over.
+    def test_request_whose_time_passed_while_the_relay_stood_still_is_rejected_at_once(self) -> None:
+        self.start()
+        client = self.ask("order", size=1, wait=300)
+        self.stand_still_for(0.4)
+        self.assertIn(REFUSED, self.answer_to(client))
+
+    # Guards against a time that is taken off though the relay was only idle.
+    def test_request_after_an_idle_time_has_its_whole_time(self) -> None:
+        self.start()
+        self.stand_still_for(0.4)
+        client = self.ask("basket", size=1, wait=1500)
+        told = int(re.search(rb",d=(\d+)", self.accept_query_text())[1])
+        self.assertGreater(told, 1400)
+        client.close()
+
     # Guards against the same where the part behind the time is too long to be held back.
     def test_an_end_that_tells_an_old_time_is_not_sent(self) -> None:
         self.start()
