Count on room for 500 bytes at an empty receive buffer, not for 1,000

Cause: a buffer of 2,400 bytes that is empty may announce a window of 563 bytes (the kernel keeps to a smaller window until it can grow by half of the buffer). Queries of up to 1,000 bytes were written without a look at the window; what did not fit waited in our kernel for the window probe, 0.2 s later.

Change: 500 bytes. The same holds for what of a query's end is held back, so that it always fits in the end.

--- a/tealsail/choices/query_ends.py
+++ b/tealsail/choices/query_ends.py
@@ -3,8 +3,8 @@
 
 from ..time_limits import MAX_HOLD_UP, TENTHS_PER_SECOND
 
-# Under the smallest receive window of a Linux socket: a unit that has read what came before has room for so much.
-ALWAYS_ROOM_BYTES = 1_000
+# Under the smallest window of a Linux socket whose buffer is empty: it may be announced as half of the smallest buffer.
+ALWAYS_ROOM_BYTES = 500
 MAX_HELD_BYTES = ALWAYS_ROOM_BYTES  # of a query's end
 UNREAD_CHECK_S = 0.02  # for which it counts that nothing was unread: less than what every rule allows from news on
 MIN_ROOM_CHECK_S = 0.001  # shortest time between checks
--- a/tests/test_query_ends.py
+++ b/tests/test_query_ends.py
@@ -11,8 +11,11 @@
 import termios
 import time
 from itertools import product
+from random import Random
+from types import SimpleNamespace
 
-from tealsail.choices.query_ends import MAX_HELD_BYTES
+from tealsail.choices.query_ends import ALWAYS_ROOM_BYTES, MAX_HELD_BYTES
+from tealsail.net.tcp_state import read_send_state
 
 from .crossing import EMPTY, NOTHING, Crossing, row
 from .fake import READY, STARTUP_RESPONSE, message
@@ -332,6 +335,26 @@
         self.run_until(lambda: self.relay.counters.counts["clients.left"])
         self.assert_incomplete(self.read_all(unit_end))
 
+    # Guards against a short query that is written without a look at the room, and that waits in our kernel for some.
+    def test_empty_buffers_have_the_room_that_is_always_counted_on(self) -> None:
+        chance = Random(1)
+        for _ in range(60):
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1200)
+                sender = socket.create_connection(listener.getsockname())
+                receiver = listener.accept()[0]
+            with sender, receiver:
+                for _ in range(40):
+                    room = read_send_state(SimpleNamespace(socket=sender)).window
+                    self.assertGreaterEqual(room, ALWAYS_ROOM_BYTES)
+                    missing = chance.randrange(1, ALWAYS_ROOM_BYTES)
+                    sender.sendall(bytes(missing))
+                    while missing:
+                        missing -= len(receiver.recv(chance.choice((10, 1000))))
+                    if chance.random() < 0.8:
+                        receiver.sendall(b"answer")
+                        sender.recv(100)
+
     # Guards against a query that stays incomplete at a unit which reads all the time, whatever its buffer.
     def test_queries_of_all_sizes_reach_units_that_read(self) -> None:
         self.start()
