Try units that rest after failures once half of a held query's time is over

Cause: a shot moves on only to a unit that is available.

Change: after half of the time in which it may be sent it moves on to one that rests, too; these are tried last, as for any shot.

Test: test_a_shot_moves_on_to_a_unit_that_rests_only_after_half_of_its_time.

--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -618,7 +618,10 @@
     COLD_LOAD_FACTOR = 1.5  # times an even share of the work, for what a cold unit can do now
     MAX_WRITE_DELAY = SECOND * 3 // 20  # for which the process may be held up between a decision and the write
     PROMPT_TIME = SECOND // 20  # after an invocation was taken: a shot written by then falls into the same windows
-    ROOM_WAIT_PART = 0.25  # of the time in which a shot can be sent, spent at a unit that takes in no more of it
+    # Parts of the time in which a shot can be sent, spent at a unit that takes in no more of it: before one that is
+    # available is tried, and before one that is not.
+    ROOM_WAIT_PART = 0.25
+    LAST_ROOM_WAIT_PART = 0.5
     MIN_ROOM_WAIT = SECOND // 100  # even if that part is less
     MAX_WITHHELD_SHOTS = 6  # of an invocation; one more waits at its unit for as long as it may
 
@@ -682,12 +685,11 @@
         """The outcome with which a shot ends that has waited so long for room at its unit; None: it may wait on."""
         if not self.may_wait(shot):
             return "moot"
-        return WITHHELD if self.has_waited_enough(shot, waited) and self.has_alternative(shot) else None
-
-    def has_waited_enough(self, shot: Shot, waited: int) -> bool:
-        """Whether another unit should be tried: this one may stand still for as long as the shot may be sent."""
         could_wait = self.send_until(shot) - self.relay.now + waited
-        return waited >= max(self.MIN_ROOM_WAIT, self.ROOM_WAIT_PART * could_wait)
+        if waited < max(self.MIN_ROOM_WAIT, self.ROOM_WAIT_PART * could_wait):
+            return None
+        needs_available = waited < self.LAST_ROOM_WAIT_PART * could_wait
+        return WITHHELD if self.has_alternative(shot, needs_available) else None
 
     def send_until(self, shot: Shot) -> int:
         """When a shot may be sent no longer, as far as that is known in advance."""
@@ -696,7 +698,7 @@
             return min(invocation.deadline, self.remembered_until(first))
         return invocation.deadline
 
-    def has_alternative(self, shot: Shot) -> bool:
+    def has_alternative(self, shot: Shot, needs_available: bool) -> bool:
         """Whether there is a unit that no rule can keep from getting a shot in place of this one."""
         invocation, relay = shot.invocation, self.relay
         used = [each.unit for each in invocation.shots]
@@ -704,7 +706,7 @@
             return False
         return any(
             unit not in used
-            and relay.choice.is_available(unit)
+            and (not needs_available or relay.choice.is_available(unit))
             and relay.warmth(unit) >= 1
             and not relay.on_trial(unit.build)
             and self.is_in_group(invocation, unit)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -168,6 +168,17 @@
             self.assertIsNone(self.wait(story, number, SECOND))
             story.relay.now -= SECOND
 
+    def test_a_shot_moves_on_to_a_unit_that_rests_only_after_half_of_its_time(self) -> None:
+        """Guards against a repeat that waits at the one unit that has not failed of late, until it may not be sent."""
+        story = RelayFixture(units=2, workloads=(ONE_SHOT,))
+        number = story.take()
+        story.relay.units[1 - story.sent(number)[0]].ejected_until = story.relay.now + 9 * SECOND
+        self.assertIsNone(self.wait(story, number, 2 * SECOND - 1))
+        story.relay.now -= 2 * SECOND - 1
+        self.assertEqual(self.wait(story, number, 2 * SECOND), policy.WITHHELD)
+        story.report_outcome(number, policy.WITHHELD)
+        self.assertEqual(set(story.sent(number)), {0, 1})
+
     def test_a_shot_is_not_sent_after_its_clients_time(self) -> None:
         story = RelayFixture()
         number = story.take()
