Keep the unit of time and the hold-up of 0.15 s in one module

Change: tealsail/time_limits.py holds SECOND, TENTHS_PER_SECOND and MAX_HOLD_UP; all others import them. KILL_MARGIN is twice MAX_HOLD_UP, LISTEN_MARGIN is it. The slack of trials on sockets is world.rules.SOCKET_SLACK for both kinds of trials. No value differs.

--- a/tealsail/choices/clock.py
+++ b/tealsail/choices/clock.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from typing import Any
 
-TENTHS_PER_SECOND = 10_000  # tenths of a ms
+from ..time_limits import TENTHS_PER_SECOND
+
 MIN_STEP_S = 0.2  # between two checks: a larger difference of the clocks is a step, a smaller one is followed
 MIN_GAP_S = 2.0  # without a call: something runs each half second
 # Without a call: what came meanwhile may have waited, if the process stood still.  Rules allow for shorter waits.
--- a/tealsail/choices/connection_lifetimes.py
+++ b/tealsail/choices/connection_lifetimes.py
@@ -5,19 +5,20 @@
 
 from collections.abc import Sequence
 
+from ..time_limits import MAX_HOLD_UP, TENTHS_PER_SECOND
 from .backoff import FIRST_LIST_WAIT_S
 
 # A supervisor may kill a process that it has told to stop once the longest deadline, counted as KILL_DEADLINE_LIMIT
 # where it is longer, and KILL_GRACE have passed.  Tenths of a ms.
 KILL_DEADLINE_LIMIT = 30_000
 KILL_GRACE = 7_000
-# Tenths of a ms before the kill by which all is answered: the process may be held up for 0.15 s before it reads the
+# Tenths of a ms before the kill by which all is answered: the process may be held up before it reads the
 # signal, and again before it writes the answers.
-KILL_MARGIN = 3_000
-# Tenths of a ms before the kill at which the client listener closes: a process that is held up for 0.15 s just then
+KILL_MARGIN = 2 * MAX_HOLD_UP
+# Tenths of a ms before the kill at which the client listener closes: a process that is held up just then
 # still answers what is in the backlog.  Clients that were answered at KILL_MARGIN, and whose next query crossed the end
 # of their connection, may connect again until then.
-LISTEN_MARGIN = 1_500
+LISTEN_MARGIN = MAX_HOLD_UP
 # Tenths of a ms before the kill at which connections without a query end.
 END_MARGIN = 1_000
 EXIT_MARGIN = 500  # tenths of a ms before the kill at which the relay exits, whatever is left
@@ -28,7 +29,6 @@
 EMPTY_CHECKS = 2
 DRAIN_CHECK_S = 0.05  # between checks for remaining clients
 LAST_CHECK_S = 0.005  # the same once only queries that have arrived are awaited
-TENTHS_PER_SECOND = 10_000  # tenths of a ms
 # Tenths of a ms within which a new client sends its first query; idle connections are kept as long when it is crowded.
 IDLE_GRACE = 3_000
 ANSWER_REST_S = 0.02  # nothing that belongs to an answer comes later than this after it
--- a/tealsail/choices/load_digests.py
+++ b/tealsail/choices/load_digests.py
@@ -13,11 +13,11 @@
 from typing import NamedTuple
 
 from ..parts import RandomGenerator
+from ..time_limits import SECOND
 from .digest_messages import DIGEST, MAX_ROWS, QUIET_REPORT, REPORT, Message, Row, decode, encode
 from .load_owner import LoadOwner
 from .rendezvous import REPLICAS, Rendezvous
 
-SECOND = 10_000  # tenths of a ms; times below are in tenths of a ms too
 BUDGET = 3_000  # bytes a second, out and in, of all control messages of a relay, judges' messages among them
 JUDGES_RATE = 400  # bytes a second of BUDGET, left to the judges' messages
 BURST_RATE = 100  # bytes a second of BUDGET, left to what a full token bucket adds within a few seconds
--- a/tealsail/choices/old_copy.py
+++ b/tealsail/choices/old_copy.py
@@ -12,6 +12,7 @@
 from zlib import crc32
 
 from ..parts import RandomGenerator, stable_hash
+from ..time_limits import MAX_HOLD_UP
 
 GROUPS = 30  # 8 + 30 * 8 = 248 bytes, of 256 that a datagram between relays may have
 # Kinds of messages.  Their lengths are multiples of four above four, which relays that do not know them ignore.
@@ -27,8 +28,6 @@
 QUICK_QUESTIONS = 20  # rounds of questions before they become rarer
 QUICK_INTERVAL_S = 0.1  # between rounds of questions
 SLOW_INTERVAL_S = 1.0  # the same after QUICK_QUESTIONS
-# Tenths of a ms by which the old copy is given up before the grace ends: the process may be held up before a write.
-MAX_WRITE_DELAY = 1_500
 
 
 class UnitIdentity(NamedTuple):
@@ -39,8 +38,8 @@
 
 
 def expiry(process_started_at: int, drain_grace: int) -> int:
-    """When the old copy may be used no longer, in tenths of a ms as the arguments are."""
-    return process_started_at + max(0, drain_grace - MAX_WRITE_DELAY)
+    """When the old copy may be used no longer, in tenths of a ms as the arguments are: the process may be held up."""
+    return process_started_at + max(0, drain_grace - MAX_HOLD_UP)
 
 
 def group_hashes(units: Mapping[int, UnitIdentity]) -> tuple[int, ...]:
--- a/tealsail/choices/query_ends.py
+++ b/tealsail/choices/query_ends.py
@@ -10,7 +10,8 @@
 MIN_ROOM_CHECK_S = 0.001  # shortest time between checks
 MAX_ROOM_CHECK_S = 0.05  # longest time between checks
 ROOM_CHECK_PART = 0.25  # of the time waited so far, until the next check
-ARRIVAL_LIMIT_S = 0.15  # from the sending of a last byte until it is acknowledged; others delay that by up to 0.05 s
+# From the sending of a last byte until it is acknowledged; others delay that by up to 0.05 s.
+ARRIVAL_LIMIT_S = MAX_HOLD_UP / TENTHS_PER_SECOND
 ARRIVAL_CHECK_S = 0.025  # between checks; with the limit less than a kernel waits before it sends a lost byte again
 
 
--- a/tealsail/choices/rate_limits.py
+++ b/tealsail/choices/rate_limits.py
@@ -7,7 +7,8 @@
 
 from typing import NamedTuple
 
-SECOND = 10_000  # tenths of a ms; messages are counted by whole seconds
+from ..time_limits import SECOND
+
 CELLS_PER_MESSAGE = 30  # a full message of counts holds at least so many cells (tealsail/peer_messages.py)
 
 
--- a/tealsail/command/lab.py
+++ b/tealsail/command/lab.py
@@ -18,6 +18,7 @@
 from ..lab.figures import Result
 from ..lab.scenario import BadScenario, Scenario, read
 from ..record.lines import InvalidRecord
+from ..time_limits import TENTHS_PER_SECOND
 from ..world.rules import Breach
 
 FEWEST_REPLICAS = 1
@@ -113,7 +114,7 @@
         return False
     console.print("rules BROKEN: " + ", ".join(f"{name} {count}" for name, count in broken.items()))
     for breach in breaches[:5]:
-        console.print(f"  {breach.at / 10_000:.3f}s {breach.rule}: {breach.text}")
+        console.print(f"  {breach.at / TENTHS_PER_SECOND:.3f}s {breach.rule}: {breach.text}")
     return True
 
 
@@ -574,9 +575,10 @@
     start = integer_option(arguments, "--start", 0, 1 << 50) if arguments["--start"] else None
     found = imports.from_csv(arguments["CSV"], arguments["FILE"], start)
     console.print(
-        f"{found.lines} arrivals over {found.span / 10_000:.1f} s; {found.skipped} lines skipped"
+        f"{found.lines} arrivals over {found.span / TENTHS_PER_SECOND:.1f} s; {found.skipped} lines skipped"
         + (f" (first: {found.first_problem})" if found.skipped else "")
-        + f"; the clock stepped back {found.steps_back} times; longest gap {found.longest_gap / 10_000:.1f} s"
+        + f"; the clock stepped back {found.steps_back} times"
+        + f"; longest gap {found.longest_gap / TENTHS_PER_SECOND:.1f} s"
     )
     return 0
 
--- a/tealsail/lab/capacity/facade_measurements.py
+++ b/tealsail/lab/capacity/facade_measurements.py
@@ -16,6 +16,7 @@
 from ...facade import Facade, Outcome, PeerMessageReceived, Reject, RolloutState, SendShot, UnitEntry, Units
 from ...parts import stable_hash
 from ...settings import named_settings, nested_leaves
+from ...time_limits import SECOND
 from .events import (
     BASELINE_BUILD,
     CANARY_BUILD,
@@ -34,7 +35,6 @@
 BEATS = 6  # of one repeat
 REQUESTS = 200  # of one repeat
 MESSAGES = 500  # of one repeat
-SECOND = 10_000  # tenths of a ms
 BEAT = SECOND // 2  # between two beats, in tenths of a ms
 DEADLINE = 3 * SECOND  # of a request, in tenths of a ms
 ROUND_TRIP = 20  # tenths of a ms until a unit answers
--- a/tealsail/lab/digest_days.py
+++ b/tealsail/lab/digest_days.py
@@ -17,6 +17,7 @@
 from ..choices.load_digests import LoadDigests
 from ..parts import RandomGenerator, stable_hash
 from ..record.lines import Head, ShotAnswered, ShotStarted
+from ..time_limits import SECOND
 from ..world.evenness import Evenness
 from ..world.fleet import Fleet
 from ..world.unit import NEVER, IncomingShot, Unit
@@ -25,7 +26,6 @@
 from .scenario import Scenario
 from .traffic import create_clients
 
-SECOND = 10_000  # tenths of a ms
 BEAT = SECOND // 2  # interval of a relay's beats
 MIN_UNITS_IN_USE = 4  # as the program begins (tealsail/policy.py, Choice)
 UNITS_OFFERED = 8  # to the load tracker that is asked
--- a/tealsail/lab/figures.py
+++ b/tealsail/lab/figures.py
@@ -20,8 +20,8 @@
     UnitEvent,
     Vote,
 )
+from ..time_limits import SECOND
 
-SECOND = 10_000  # tenths of a ms
 SWEEP_INTERVAL = 12 * SECOND  # how often first tries past their deadline are counted as they stand
 
 
--- a/tealsail/lab/imports.py
+++ b/tealsail/lab/imports.py
@@ -7,11 +7,11 @@
 
 from ..record.files import Writer
 from ..record.lines import VERSION, Head, InvocationTaken
+from ..time_limits import SECOND
 
 COLUMNS = ("at_ms", "workload", "customer", "key")
 MAX_NAMES = 10_000  # different workloads or customers
 MAX_TEXT_LENGTH = 400  # characters of a name or key
-SECOND = 10_000  # tenths of a ms
 
 
 class Imported(NamedTuple):
--- a/tealsail/lab/judging.py
+++ b/tealsail/lab/judging.py
@@ -15,11 +15,11 @@
 from ..parts import stable_hash
 from ..peer_messages import count_messages
 from ..policy import CELLS_PER_WORKLOAD, GROUPS, JUDGES, MAX_EXTRA_TURNS, RELAYS_PER_TURN
+from ..time_limits import SECOND
 from .costs import sized_scenario
 
 FLEET_SIZES = (50, 500, 1_000, 2_500, 10_000)
 BEAT = 5_000  # tenths of a ms
-SECOND = 10_000  # tenths of a ms
 UNITS = 60
 ON_TRIAL_UNITS = 12
 RUN_S = 24
--- a/tealsail/lab/loopback/relay_messages.py
+++ b/tealsail/lab/loopback/relay_messages.py
@@ -9,6 +9,7 @@
 import struct
 from typing import Any
 
+from ...time_limits import TENTHS_PER_SECOND
 from ...world.network import Network
 from . import addresses
 from .process_messages import DayBegin, FinalReport, Message, NetworkState
@@ -17,7 +18,6 @@
 IP_PKTINFO = 8  # of Linux's <linux/in.h>; the socket module has no name for it yet
 INFO = struct.Struct("=i4s4s")  # struct in_pktinfo: interface, local address, address sent to
 ANCILLARY_ROOM = socket.CMSG_SPACE(INFO.size)
-TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
 MAX_MESSAGE_BYTES = 256
 READ_BATCH = 512  # datagrams read in one turn of the loop, so that others in the process get theirs
 MAX_IN_FLIGHT = 100_000  # messages; more are dropped
--- a/tealsail/lab/loopback/trial.py
+++ b/tealsail/lab/loopback/trial.py
@@ -18,8 +18,9 @@
 
 from ...record.files import Writer, read
 from ...record.lines import VERSION, Head, Line, RecordEnd as Closed, ShotSent
+from ...time_limits import TENTHS_PER_SECOND
 from ...world.day import Day
-from ...world.rules import Slack
+from ...world.rules import SOCKET_SLACK
 from ..figures import Result
 from ..runs import RecordEvaluation
 from ..scenario import Scenario, convert
@@ -47,13 +48,11 @@
 READY_TIMEOUT_PER_RELAY_S = 0.25  # more for each of them
 ANSWER_GRACE_S = 10.0  # for answers after the last arrival
 END_TIMEOUT_S = 25.0  # for the end of all processes
-TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
 START_DELAY = 2_000  # tenths of a ms between the last relay's coming up and the day's beginning
 LATE_ARRIVAL = 100  # tenths of a ms; an arrival that is sent later than that is too late
 MAX_LATE_SHARE = 0.01  # of arrivals that are too late; with more of them a trial is void
 MAX_LOCAL_RELAYS = 24  # relays up to which all members fit in the coordinator's process
 RELAYS_PER_MEMBER = 200  # relays for which a member can play backends or clients
-SLACK = Slack(time=1_500, shots=2, part=0.04)  # what sockets add
 KILL_MARGIN = 10_000  # tenths of a ms; a request lost so near a relay's kill is lost by the kill
 MAX_PROBLEMS = 100  # that are kept
 MAX_LOST = 10  # lost requests that are reported
@@ -316,7 +315,7 @@
 def judge(trial: Trial, path: str) -> tuple[Result, RecordEvaluation, bool]:
     """Figures and broken rules from the record, which goes to `path` if there is one; and whether the trial is void."""
     late, late_share = trial.lateness()
-    judged = RecordEvaluation(trial.scenario.plain(), SLACK)
+    judged = RecordEvaluation(trial.scenario.plain(), SOCKET_SLACK)
     writer = Writer(path) if path else None
     resent, taken = {tuple(each) for report in trial.final_reports for each in report.resent}, set()
     for line in trial.record():
--- a/tealsail/lab/loopback/trial_setup.py
+++ b/tealsail/lab/loopback/trial_setup.py
@@ -7,12 +7,11 @@
 from typing import Any
 
 from ...record.lines import Line
+from ...time_limits import TENTHS_PER_SECOND
 from ..scenario import Scenario
 from .addresses import Addresses
 from .process_messages import Message
 
-TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
-
 
 class TrialSetup:
     """One trial as seen from one process.
--- a/tealsail/lab/scale/director.py
+++ b/tealsail/lab/scale/director.py
@@ -20,6 +20,7 @@
 from ...facade import Facade, RolloutState
 from ...record.files import read
 from ...record.lines import VERSION, Head, InvocationTaken, Line, RecordEnd, RelayEvent, UnitEvent
+from ...time_limits import TENTHS_PER_SECOND
 from ...world.day import Day, RelayCommand
 from ...world.unit import Unit
 from ..loopback import process_messages as client_messages
@@ -35,7 +36,6 @@
 from .director_messages import RelayCost, decode, encode
 from .real_relays import CLOCK, BackendListener, ProcessCost, RealClients, RealRelays
 
-TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
 START_DELAY_S = 0.5  # between the last relay's coming up and the day's beginning
 ANSWER_GRACE_S = 6.0  # for answers after the last arrival
 POSSIBLE_JUDGES = 4  # of a build: the judges, and the next in line
--- a/tealsail/lab/scale/hollow_process.py
+++ b/tealsail/lab/scale/hollow_process.py
@@ -24,6 +24,7 @@
 from ...parts import stable_hash
 from ...record.files import Writer
 from ...record.lines import VERSION, EntryReceived, Head, InvocationEnded, StageReceived
+from ...time_limits import TENTHS_PER_SECOND
 from ...world.clients import Arrival
 from ...world.day import Day
 from ...world.unit_list import Entry
@@ -39,7 +40,6 @@
 from .director_messages import RelayCost, decode, encode
 from .hollow_relay import HollowRelay, ProcessServices
 
-TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
 STALL_CHECK = 200  # tenths of a ms between checks of the event loop
 MIN_STALL = 200  # tenths of a ms by which a check is late, from which on it is a stall
 MAX_STALLS = 20_000  # that are kept
--- a/tealsail/lab/scale/results.py
+++ b/tealsail/lab/scale/results.py
@@ -8,13 +8,12 @@
 import numpy
 
 from ...record.lines import FaultInjected, InvocationEnded, InvocationTaken, Line, Log, UnitEvent
-from ...world.rules import Slack
+from ...time_limits import TENTHS_PER_SECOND
+from ...world.rules import SOCKET_SLACK
 from ..runs import RecordEvaluation
 from ..scenario import Scenario
 from .director import Measurements, duty_owners
 
-TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
-SLACK = Slack(time=1_500, shots=2, part=0.04)  # as a trial's: what sockets add
 NO_VALUE = -1.0  # of a figure without data
 MIN_LIFETIME_SHARE = 0.9  # of the day that a relay must have lived to count among costs
 SETTLING_S = 1  # seconds at the day's beginning that no window counts
@@ -170,7 +169,7 @@
 
 def evaluate_run(scenario: Scenario, measured: Measurements, lines: list[Line]) -> Run:
     """All results of a run; `lines` are its record."""
-    judged = RecordEvaluation(scenario.plain(), SLACK)
+    judged = RecordEvaluation(scenario.plain(), SOCKET_SLACK)
     # the checker allows for the times in which a relay's process did not run
     for relays, stalls in zip(measured.hollow, measured.stalls):
         judged.rules.stops |= {relay: deque(map(list, stalls), maxlen=len(stalls) + 1) for relay in relays}
--- a/tealsail/lab/scenario.py
+++ b/tealsail/lab/scenario.py
@@ -14,6 +14,7 @@
 
 from ..settings import named_settings, nested_leaves
 from ..setup.document import Document, InvalidDocument, convert as read_document
+from ..time_limits import TENTHS_PER_SECOND
 from ..world.builds import Build
 from ..world.clients import NUMBERS_PER_STREAM, ClientBehaviour, Workload, relay_weights
 from ..world.day import DayParts
@@ -213,7 +214,7 @@
     @property
     def span(self) -> int:
         """Length of the day in tenths of a ms."""
-        return int(self.seconds * 10_000)
+        return int(self.seconds * TENTHS_PER_SECOND)
 
     def layout(self) -> FleetLayout:
         table = self.fleet
@@ -332,7 +333,7 @@
             self.paths(),
             self.relay_zones(),
             list_lateness,
-            [(int(each.offered_s * 10_000), each.number) for each in self.builds],
+            [(int(each.offered_s * TENTHS_PER_SECOND), each.number) for each in self.builds],
             self.faults(),
             self.span,
         )
--- a/tealsail/lab/virtual.py
+++ b/tealsail/lab/virtual.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..choices.clock import MIN_GAP_S, TENTHS_PER_SECOND, discard_evidence
+from ..choices.clock import MIN_GAP_S, discard_evidence
 from ..facade import (
     CancelShot,
     Facade,
@@ -41,6 +41,7 @@
     ShotStarted,
     StageReceived,
 )
+from ..time_limits import TENTHS_PER_SECOND
 from ..world.clients import Arrival
 from ..world.day import Day, RelayCommand
 from ..world.unit import NEVER, IncomingShot, Unit
--- a/tealsail/net/first_list.py
+++ b/tealsail/net/first_list.py
@@ -8,14 +8,13 @@
 from ..choices.old_copy import FIRST_QUESTION_S, OldCopy, UnitIdentity, answer, expiry, group_hashes, is_question
 from ..facade import ConfirmedUnits, Facade
 from ..parts import RandomGenerator
+from ..time_limits import TENTHS_PER_SECOND
 from .connections import cancel
 from .counters import Counters
 from .kernel import set_accepting_paused
 from .peers import Peers
 from .units import Units
 
-TENTHS_PER_SECOND = 10_000  # tenths of a millisecond
-
 
 class StartingRelay(Protocol):
     """What this uses of its relay."""
--- a/tealsail/net/invocation.py
+++ b/tealsail/net/invocation.py
@@ -7,12 +7,12 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from ..choices.clock import TENTHS_PER_SECOND
 from ..choices.memory_budget import request_cost
 from ..choices.query_ends import UNREAD_CHECK_S
 from ..choices.recent_ids import must_be_remembered
 from ..facade import ClientLeft, Forfeit, Outcome, Reject, SendShot, Step
 from ..policy import OUTCOMES_NOT_RUN
+from ..time_limits import TENTHS_PER_SECOND
 from .answers import Answer, Forfeited, Rejected
 from .shots import Shot
 from .statements import Statement, UnitQuery
--- a/tealsail/net/relay.py
+++ b/tealsail/net/relay.py
@@ -9,7 +9,7 @@
 
 from .. import settings
 from ..choices.backoff import DEFAULT_ASK_WITHIN_S, Backoff, agent_backoff, fleet_backoff, initial_request_delay
-from ..choices.clock import TENTHS_PER_SECOND, Clock, StartTimes, discard_evidence
+from ..choices.clock import Clock, StartTimes, discard_evidence
 from ..choices.connection_lifetimes import accept_delay
 from ..choices.live_settings import LiveSettings, RestartNeeded
 from ..choices.memory_budget import (
@@ -36,6 +36,7 @@
 )
 from ..parts import RandomGenerator, stable_hash
 from ..policy import JUDGES
+from ..time_limits import TENTHS_PER_SECOND
 from .answers import Answer
 from .clients import Clients
 from .connections import cancel
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -49,8 +49,7 @@
     unexplained_failures,
     warm_and_cold_capacity,
 )
-
-SECOND = 10_000  # tenths of a ms
+from .time_limits import MAX_HOLD_UP, SECOND
 
 # What holds for settings that the platform leaves out, of the fleet and of a workload; times in tenths of a ms.
 DEFAULTS: dict[str, Any] = dict(
@@ -616,7 +615,6 @@
     """Every shot passes here.  Each of the five rules that no shot may break is kept in one method of this class."""
 
     COLD_LOAD_FACTOR = 1.5  # times an even share of the work, for what a cold unit can do now
-    MAX_WRITE_DELAY = SECOND * 3 // 20  # for which the process may be held up between a decision and the write
     PROMPT_TIME = SECOND // 20  # after an invocation was taken: a shot written by then falls into the same windows
     # Parts of the time in which a shot can be sent, spent at a unit that takes in no more of it: before one that is
     # available is tried, and before one that is not.
@@ -778,7 +776,7 @@
 
     def remembered_until(self, first: Shot) -> int:
         """Until when units drop a repeat of this shot, if one is sent by then."""
-        return first.sent_at + first.invocation.workload.memory - self.MAX_WRITE_DELAY
+        return first.sent_at + first.invocation.workload.memory - MAX_HOLD_UP
 
     def is_within_memory(self, first: Shot) -> bool:
         """Whether units still drop a repeat of this shot if one is written now."""
--- a/tealsail/setup/document.py
+++ b/tealsail/setup/document.py
@@ -13,6 +13,7 @@
 from msgspec import Meta, Struct
 
 from ..choices.tiers import Zoning
+from ..time_limits import TENTHS_PER_SECOND
 
 DEFAULT_PATH = "deploy/tealsail.toml"
 
@@ -82,7 +83,7 @@
             self.spare,
             self.panic,
             int(self.span_ms * 10),
-            int(self.memory_s * 10_000),
+            int(self.memory_s * TENTHS_PER_SECOND),
             self.first,
             int(self.step_ms * 10),
             self.least,
--- a/tealsail/world/clients.py
+++ b/tealsail/world/clients.py
@@ -7,12 +7,12 @@
 import heapq
 from typing import NamedTuple
 
+from ..time_limits import SECOND
 from . import random_draws
 from .random_draws import PoissonGaps, WeightedChoice, uniform
 
 NUMBERS_PER_STREAM = 10**7
 NUMBERS_PER_TRY = 10**12
-SECOND = 10_000  # tenths of a ms
 
 
 class Workload(NamedTuple):
--- a/tealsail/world/evenness.py
+++ b/tealsail/world/evenness.py
@@ -25,13 +25,13 @@
     ShotStarted,
     UnitEvent,
 )
+from ..time_limits import SECOND
 from .random_draws import PoissonGaps
 
 WIDE_WINDOW = 50_000  # tenths of a ms, for evenness
 BRIEF_WINDOW = 1_000  # tenths of a ms, for herds
 FEWEST_UNITS = 5  # of a build, for a window to count
 FEWEST_SHOTS_PER_UNIT = 10  # on average, for a wide window to count
-SECOND = 10_000  # tenths of a ms
 MOST_OWNERS_KEPT = 200  # changes of the relays that act for the fleet
 UNSOUND = ("hangs", "silent", "fails", "slows")  # events of a unit that make it unsound until it mends
 
--- a/tealsail/world/platform.py
+++ b/tealsail/world/platform.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from ..time_limits import SECOND
+
 ON_TRIAL = "on trial"
 GOING_BACK = "going back"
 RELEASED = "released"
@@ -14,7 +16,7 @@
 
     caps: tuple[float, ...] = (0.2, 0.5, 1.0)  # by stage, the share of invocations that may go to the build
     shares: tuple[float, ...] = (0.25, 0.5, 1.0)  # by stage, the share of machines that run the build
-    bake: int = 10_000  # least time of a stage, from when its units run
+    bake: int = SECOND  # least time of a stage, from when its units run
     launched_by: int = 80_000  # a stage's clock starts at the latest so long after the stage
     on_votes: int = 1  # votes needed to go on
     back_votes: int = 1  # votes needed to go back
@@ -73,8 +75,8 @@
         """Takes a relay's vote (on, hold or back); returns ok, moot, full, or nothing where no answer is sent."""
         if now < self.silent_until:
             return "nothing"
-        if now // 10_000 != self.second:
-            self.second, self.calls = now // 10_000, 0
+        if now // SECOND != self.second:
+            self.second, self.calls = now // SECOND, 0
         self.calls += 1
         if self.calls > self.plan.votes_per_second or now < self.busy_until:
             return "full"
--- a/tealsail/world/rules.py
+++ b/tealsail/world/rules.py
@@ -28,6 +28,7 @@
     StageReceived,
     UnitEvent,
 )
+from ..time_limits import MAX_HOLD_UP, SECOND
 
 NEVER_RAN = ("full", "unreachable", "moot", "withheld")  # outcomes of shots that certainly had no effect
 MOST_BREACHES_KEPT = 50  # with their text; all are counted
@@ -57,6 +58,9 @@
     part: float = 0.0  # share that is added to the cap
 
 
+SOCKET_SLACK = Slack(time=MAX_HOLD_UP, shots=2, part=0.04)  # of trials on sockets
+
+
 class Invocation:
     """An invocation that a relay has taken.
 
@@ -275,7 +279,7 @@
         capacity = start.capacity * (start.cold_from + (1 - start.cold_from) * age / start.warm_up)
         fraction = cold.total / (multiple * capacity * span)
         self.peak_fraction["cold"] = max(self.peak_fraction["cold"], fraction)
-        second = line.at // 10_000
+        second = line.at // SECOND
         self.cold_by_second[second] = max(self.cold_by_second.get(second, 0.0), fraction)
         if fraction > 1:
             self.add_breach(line.at, "cold", f"{line.unit} was sent {fraction:.2f} times its limit while cold")
--- a/tealsail/world/spill.py
+++ b/tealsail/world/spill.py
@@ -7,8 +7,7 @@
 from collections import deque
 
 from ..record.lines import Head, InvocationTaken, Line, ShotSent, UnitEvent
-
-SECOND = 10_000  # tenths of a ms
+from ..time_limits import SECOND
 
 
 class SpillChecker:
