Remove the import cycles of the modules that connections and shots were split into

Change: each of the three modules states what it uses of its user as a protocol (ConnectionPool, ConnectionUser, ShotPool, InvocationRelay), as recording.py does. No behaviour changes.

--- a/tealsail/net/invocation.py
+++ b/tealsail/net/invocation.py
@@ -1,31 +1,63 @@
 """One invocation that a relay has taken, from its query to its answer."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from ..choices.memory_budget import request_cost
+from ..choices.memory_budget import ByteBudget, request_cost
 from ..choices.query_ends import UNREAD_CHECK_S
-from ..choices.recent_ids import must_be_remembered
-from ..facade import ClientLeft, Forfeit, Outcome, Reject, SendShot, Step
+from ..choices.recent_ids import RecentIds, must_be_remembered
+from ..facade import ClientLeft, Facade, Forfeit, Outcome, Reject, SendShot, Step
 from ..policy import OUTCOMES_NOT_RUN
 from ..time_limits import TENTHS_PER_SECOND
 from .answers import Answer, Forfeited, Rejected
+from .counters import Counters
 from .shots import Shot
 from .statements import Statement, UnitQuery
 from .unit_connection import ShotResult
+from .units import Units
 
-if TYPE_CHECKING:
-    from .relay import Relay
+
+class InvocationRelay(Protocol):
+    """What an invocation uses of the relay that has taken it."""
+
+    reactor: Any
+    clock: Callable[[], int]  # tenths of a millisecond
+    facade: Facade
+    units: Units
+    counters: Counters
+    requests: ByteBudget
+    serving: dict[int, "ActiveInvocation"]  # by the invocation's number
+    open_ids: set[bytes]
+    recent_ids: RecentIds
+    load_fields: list[str]
+    record: Any
+
+    def deadline(self, statement: Statement, at: int) -> int:
+        """When the client of a statement that came at that time stops waiting."""
+
+    def has_unread_news(self) -> bool:
+        """Whether news of units or builds has arrived that is not read yet."""
+
+    def log_fault(self, reason: Failure) -> None:
+        """Log an exception that ends no more than one invocation."""
+
+    def schedule_tick(self) -> None:
+        """See to it that the facade's next tick comes when it is due."""
+
+    def on_tick(self) -> None:
+        """Do now what the facade has due."""
 
 
 class ActiveInvocation:
     """One invocation from its query to its answer: sends the shots that the facade asks for and reports outcomes."""
 
-    def __init__(self, relay: "Relay", statement: Statement, at: int, has_client_closed: Callable[[], bool]) -> None:
+    def __init__(
+        self, relay: InvocationRelay, statement: Statement, at: int, has_client_closed: Callable[[], bool]
+    ) -> None:
         """`at`: when the query came, by the relay's clock.  `has_client_closed`: whether the kernel knows of the
         client's close, which the event loop may not have read yet."""
         self.relay, self.statement, self.has_client_closed = relay, statement, has_client_closed
--- a/tealsail/net/shots.py
+++ b/tealsail/net/shots.py
@@ -1,17 +1,15 @@
 """Shots: one attempt at a unit each, from the choice of a connection to the outcome."""
 
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from ..policy import WITHHELD
+from .arrivals import ArrivalWatch
 from .statements import UnitQuery
 from .unit_connection import Connection, ShotResult
 
-if TYPE_CHECKING:
-    from .units import Pool
-
 
 class ShotOwner(Protocol):
     """What a shot is for: gives its query, and decides whether it may still be sent."""
@@ -29,6 +27,30 @@
         """Whether the shot may be sent now; if so, it counts as sent."""
 
 
+class ShotUnits(Protocol):
+    """What a shot uses of the connections to all units."""
+
+    connect_wait: float  # seconds, for the setup of a connection or a probe
+    arrivals: ArrivalWatch
+
+
+class ShotPool(Protocol):
+    """What a shot uses of the connections to its unit."""
+
+    reactor: Any
+    units: ShotUnits
+    closed: bool
+
+    def take_idle(self) -> Connection | None:
+        """Remove and return an idle connection if there is one."""
+
+    def open(self) -> Deferred[Connection]:
+        """A new connection, once it is set up; fails with ConnectionError `unreachable` or `full`."""
+
+    def release(self, connection: Connection) -> None:
+        """The connection has no shot any more."""
+
+
 class Shot:
     """One attempt at a unit; `done` fires once, with its ShotResult.
 
@@ -36,7 +58,7 @@
     last byte is to be sent (`QueryWriter`, whose gate this is).
     """
 
-    def __init__(self, pool: "Pool", owner: ShotOwner, wait: float) -> None:
+    def __init__(self, pool: ShotPool, owner: ShotOwner, wait: float) -> None:
         self.pool, self.owner = pool, owner
         self.done: Deferred[ShotResult] = Deferred()
         self.connection: Connection | None = None
--- a/tealsail/net/unit_connection.py
+++ b/tealsail/net/unit_connection.py
@@ -1,6 +1,6 @@
 """One connection to a unit: its setup, the probe of an idle one, and the answer to the query of the shot on it."""
 
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from loguru import logger
 from twisted.internet.defer import Deferred
@@ -11,16 +11,13 @@
 from ..choices.pipelining import READ_BYTES, read_size
 from . import messages
 from .connections import OutgoingConnection
+from .counters import Counters
 from .kernel import write_now
 from .messages import Value
-from .query_writer import QueryWriter
+from .query_writer import QueryGate, QueryWriter
 from .statements import UnitQuery
 from .tcp_state import read_send_state
 
-if TYPE_CHECKING:
-    from .shots import Shot
-    from .units import Pool
-
 USER = b"backend"  # this and the next as clients name them; units welcome any
 DATABASE = b"store"
 LOAD_PARAMETER = b"stats"  # the parameter in which a unit reports its load
@@ -36,6 +33,45 @@
     load: dict[str, float] | None = None
 
 
+class ConnectionUser(QueryGate, Protocol):
+    """What a connection tells the shot that is on it, or that waits for its probe."""
+
+    def begin(self) -> None:
+        """The connection has ended during the probe: the shot needs another one."""
+
+    def on_connection(self, connection: "Connection") -> None:
+        """The unit has answered the probe."""
+
+    def finish(self, result: ShotResult) -> None:
+        """The shot has ended."""
+
+
+class AnswerRoom(Protocol):
+    """Room for large answers, shared by all connections to units."""
+
+    def hold_answer(self, connection: "Connection") -> bool:
+        """Whether the answer may be received now; if not, the connection's reading is resumed later."""
+
+    def release_answer(self, connection: "Connection") -> None:
+        """The answer is held no longer, or waits no longer."""
+
+
+class ConnectionPool(Protocol):
+    """What a connection uses of the pool that it belongs to."""
+
+    address: str
+    reactor: Any
+    counters: Counters
+    load: dict[str, float] | None  # the unit's latest report
+    units: AnswerRoom
+
+    def release(self, connection: "Connection") -> None:
+        """The connection has no shot any more."""
+
+    def remove(self, connection: "Connection") -> None:
+        """The connection has ended."""
+
+
 def load_report(text: bytes) -> dict[str, float] | None:
     """A unit's load as it reports it in the form `name=figure,...`.
 
@@ -77,12 +113,12 @@
         "answer_cost",
     )  # since a process may hold hundreds
 
-    def __init__(self, pool: "Pool") -> None:
+    def __init__(self, pool: ConnectionPool) -> None:
         self.pool, self.counters = pool, pool.counters
         self.splitter = messages.MessageSplitter(typed=True)
         self.ready: Deferred[Connection] = Deferred()  # fires when set up; fails with the outcome as its text
-        self.shot: Shot | None = None  # the one that is on it
-        self.probing_shot: Shot | None = None  # waits for the answer to the probe
+        self.shot: ConnectionUser | None = None  # the one that is on it
+        self.probing_shot: ConnectionUser | None = None  # waits for the answer to the probe
         # Respectively: `ready` has fired, also with a failure; a load report has come since the query was sent; the
         # probe's answer has come, and only its ReadyForQuery is still due.
         self.is_set_up = self.load_reported = self.probe_answered = False
@@ -201,7 +237,7 @@
             case _:
                 raise messages.ProtocolError(f"{type(message).__name__} out of order")
 
-    def probe(self, shot: "Shot") -> None:
+    def probe(self, shot: ConnectionUser) -> None:
         """Send an empty query, to learn whether the unit is still there before the shot is sent.
 
         A query written to a connection that the unit has closed may have run, for all that this side can tell.
@@ -216,7 +252,7 @@
             self.tells_room = state is not None and state.room() > 0
             self.tells_arrival = self.tells_room and not state.unacknowledged
 
-    def send_query(self, shot: "Shot", query: UnitQuery) -> None:
+    def send_query(self, shot: ConnectionUser, query: UnitQuery) -> None:
         self.shot, self.load_reported = shot, False
         self.query_number += 1
         self.description = self.row = self.result = None
