End a query's writer with its shot, and look at a bounded number of units to move to

Cause: a shot that was called off ended its connection, which the kernel may close only later in the same turn of the event loop; a check of the writer that was due in that turn could still send the last byte, of a shot that had ended as never run. A large query of which the kernel had taken a part was held as it was, its told time with it, and the search for another unit went over all units of the list.

Change: ending the connection stops the writer. A part that the kernel did not take is written like the start, with only the last byte held. The search looks at the first 64 units of the relay's row, which has no unit on trial.

--- a/tealsail/net/query_writer.py
+++ b/tealsail/net/query_writer.py
@@ -58,6 +58,7 @@
         "waits_since",
         "told_at",
         "timer",
+        "is_stopped",
     )
 
     def __init__(self, reactor: Any, transport: Any, query: UnitQuery, gate: QueryGate, tells_room: bool) -> None:
@@ -69,6 +70,7 @@
         self.end: bytes | None = None  # what is left if it can't be made anew; None: `query.end` makes it
         self.waits_since = self.told_at = reactor.seconds()  # `told_at`: when the time to wait in the message was made
         self.timer: Any = None  # of the next check
+        self.is_stopped = False  # nothing more is written
 
     @property
     def is_complete(self) -> bool:
@@ -78,6 +80,8 @@
     def advance(self) -> None:
         """Write all if the unit's machine has room for it, else all but the end; or check again later."""
         cancel(self.timer)
+        if self.is_stopped:
+            return
         if self.progress == Progress.START_WRITTEN:
             return self.wait()
         rest = self.rest()
@@ -109,7 +113,7 @@
         elif self.progress != Progress.NOT_BEGUN:
             self.check_later(room_check_delay(waited))
         elif self.gate.is_informed():
-            self.write_start()
+            self.write_start(self.query.start(), self.query.end())
         else:
             self.check_later(0)
 
@@ -137,15 +141,14 @@
     def hold(self, rest: bytes, taken: int) -> None:
         """Our kernel had no room for this part."""
         if taken:
-            self.progress, self.end, self.told_at = Progress.END_HELD, rest, self.reactor.seconds()
+            return self.write_start(b"", rest)
         self.check_later(room_check_delay(self.reactor.seconds() - self.waits_since))
 
-    def write_start(self) -> None:
-        """Write all but the end."""
-        self.progress = Progress.START_WRITTEN
-        self.start, end = self.query.start(), self.query.end()
-        if len(end) > MAX_HELD_BYTES:
-            self.start, self.end, self.told_at = self.start + end[:-1], end[-1:], self.reactor.seconds()
+    def write_start(self, start: bytes, end: bytes) -> None:
+        """Write all but the end, of which the time to wait is made anew if it can be held as it is."""
+        self.progress, self.start = Progress.START_WRITTEN, start
+        if not start or len(end) > MAX_HELD_BYTES:
+            self.start, self.end, self.told_at = start + end[:-1], end[-1:], self.reactor.seconds()
         self.check_later(room_check_delay(0))
         self.transport.registerProducer(self, False)
 
@@ -166,5 +169,6 @@
         self.timer = self.reactor.callLater(seconds, self.advance)
 
     def stop(self) -> None:
-        """Check no more."""
+        """Write nothing more: the shot or the connection has ended."""
+        self.is_stopped = True
         cancel(self.timer)
--- a/tealsail/net/unit_connection.py
+++ b/tealsail/net/unit_connection.py
@@ -148,6 +148,11 @@
         if taken < len(data):
             self.transport.write(data[taken:])
 
+    def end(self, code: str) -> None:
+        if self.writer:
+            self.writer.stop()
+        super().end(code)
+
     def dataReceived(self, data: bytes) -> None:
         if self.code:
             return
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -622,6 +622,7 @@
     LAST_ROOM_WAIT_PART = 0.5
     MIN_ROOM_WAIT = SECOND // 100  # even if that part is less
     MAX_WITHHELD_SHOTS = 6  # of an invocation; one more waits at its unit for as long as it may
+    MOVE_CANDIDATES = 64  # units of the row that are looked at for another one
 
     def __init__(self, relay: "Relay") -> None:
         super().__init__(relay)
@@ -697,7 +698,7 @@
         return invocation.deadline
 
     def has_alternative(self, shot: Shot, needs_available: bool) -> bool:
-        """Whether there is a unit that no rule can keep from getting a shot in place of this one."""
+        """Whether there is a unit that no rule can keep from getting a shot in place of this one: not one on trial."""
         invocation, relay = shot.invocation, self.relay
         used = [each.unit for each in invocation.shots]
         if sum(each.is_withheld for each in invocation.shots) >= self.MAX_WITHHELD_SHOTS:
@@ -706,9 +707,8 @@
             unit not in used
             and (not needs_available or relay.choice.is_available(unit))
             and relay.warmth(unit) >= 1
-            and not relay.on_trial(unit.build)
             and self.is_in_group(invocation, unit)
-            for unit in relay.units.values()
+            for unit in islice(relay.rows[0], self.MOVE_CANDIDATES)
         )
 
     def may_still_send(self, shot: Shot) -> bool:
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -140,7 +140,7 @@
     """
 
     closing = ended = False
-    kernel_room = 1 << 20  # bytes that the kernel takes of one `writeSomeData`
+    kernel_room = 1 << 20  # bytes that the kernel still takes from `writeSomeData`
 
     def __init__(self, protocol: Any) -> None:
         super().__init__(peerAddress=IPv4Address("TCP", "127.0.0.2", 999))
@@ -157,6 +157,7 @@
 
     def writeSomeData(self, data: bytes) -> int:
         taken = data[: self.kernel_room]
+        self.kernel_room -= len(taken)
         self.write(taken)
         return len(taken)
 
--- a/tests/test_query_ends.py
+++ b/tests/test_query_ends.py
@@ -67,6 +67,11 @@
         client.sendall(message(b"Q", self.text + b"\0"))
         return client
 
+    def limit_send_buffer(self, size: int) -> None:
+        """The kernel's buffer of the relay's one connection to the unit."""
+        (connection,) = next(iter(self.relay.units.pools.values())).all
+        connection.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
     def accept_startup(self) -> socket.socket:
         """The unit's end of a connection, after the startup message has come over it."""
         unit_end = self.accept(self.unit_side)
@@ -265,6 +270,15 @@
         self.assertIn(REFUSED, self.answer_to(client))
         self.assert_incomplete(self.read_all(unit_end))
 
+    # Guards against a shot that ends as never run, and whose last byte is sent in the turn in which it is called off.
+    def test_query_is_not_ended_in_the_turn_in_which_its_shot_is_called_off(self) -> None:
+        self.start()
+        self.ask()
+        unit_end = self.accept_part()
+        received = self.stand_still(unit_end, 0.1)
+        next(iter(self.relay.serving.values())).cancel_shot(0)
+        self.assert_incomplete(received + self.read_all(unit_end))
+
     # Guards against a query that ends after its client's time, because the timer of its next check comes first.
     def test_query_is_not_ended_after_the_clients_time_by_a_relay_that_stood_still(self) -> None:
         self.start()
@@ -358,11 +372,14 @@
     # Guards against a query that stays incomplete at a unit which reads all the time, whatever its buffer.
     def test_queries_of_all_sizes_reach_units_that_read(self) -> None:
         self.start()
-        for buffer, size in product((1, 5000, SMALL_BUFFER, 1 << 20), (1, 500, 5000, VALUE_BYTES)):
-            with self.subTest(buffer=buffer, size=size):
+        buffers, sizes = (1, 5000, SMALL_BUFFER, 1 << 20), (1, 500, 5000, VALUE_BYTES)
+        for buffer, size, send_buffer in (*product(buffers, sizes, (None,)), *product(buffers, (25_000,), (4096,))):
+            with self.subTest(buffer=buffer, send_buffer=send_buffer, size=size):
                 self.set_buffer(buffer)
                 client = self.ask("basket", size)
-                unit_end = self.accept(self.unit_side)
+                unit_end = self.accept_startup()
+                if send_buffer:
+                    self.limit_send_buffer(send_buffer)
                 unit_end.sendall(STARTUP_RESPONSE)
                 received = self.read_all(unit_end, 0.5)
                 self.assertTrue(b"9f" * size in received)
