Count a shot against the cap anew if the rest of its query leaves later

The answer to the second question looked at the cap alone: the shot counted in the window of the first, though its last byte may leave much later, for instance as the relay stands still in between.

--- a/tealsail/parts.py
+++ b/tealsail/parts.py
@@ -469,7 +469,7 @@
         self.sent_at = now
         self.group = group
         self.warmth = warmth  # of the unit when the shot was sent
-        self.is_written = False  # as far as the host says so
+        self.written_at: int | None = None  # as far as the host says so
         self.ended = self.never_ran = self.is_withheld = False
 
 
--- a/tealsail/policy.py
+++ b/tealsail/policy.py
@@ -725,19 +725,23 @@
         return self.is_listed(shot.unit)
 
     def may_expose(self, shot: Shot) -> bool:
-        """Rule 5 at the write, since an attempt counts when it arrives; one that is not written counts no more."""
+        """Rule 5 at the write, since an attempt counts when it arrives; one that is not written counts no more.
+
+        A shot counts anew if the host asks again later, since a part of it did not leave.
+        """
         relay, invocation, build = self.relay, shot.invocation, shot.unit.build
-        if shot.is_written:
+        if shot.written_at is not None and relay.now - shot.written_at <= self.PROMPT_TIME:
             return relay.cap(build) > 0
-        shot.is_written = relay.cap(build) > 0 and (
+        may_write = relay.cap(build) > 0 and (
             self.is_prompt(invocation)
             or (self.allowance(invocation, build) >= 0 and self.may_arrive(invocation, build))
         )
-        if shot.is_written:
+        if may_write:
+            shot.written_at = relay.now
             self.arrivals[build][self.counted(invocation.workload.index)].add_shot(relay.now)
         else:
             self.exposures[build][invocation.workload.index].remove(shot.sent_at)
-        return shot.is_written
+        return may_write
 
     def is_prompt(self, invocation: Invocation) -> bool:
         """Whether a shot that is written now falls into the same windows as its invocation."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -318,6 +318,17 @@
             story.report_outcome(number, "moot")
             self.assertGreaterEqual(story.sent(number)[1], 3)
 
+    # Guards against last bytes that our kernel did not take at once, and that leave in a window without a request.
+    def test_shots_of_which_a_part_did_not_leave_count_again_as_it_leaves_later(self) -> None:
+        story = self.story_with_trial(cap=1.0)
+        numbers = [story.take() for _ in range(40)]
+        begun = [each for each in numbers if story.sent(each)[0] < 3 and story.relay.may_still_send(each, 0)]
+        self.assertGreater(len(begun), 4)
+        story.later(SECOND // 100)
+        self.assertTrue(all(story.relay.may_still_send(number, 0) for number in begun))
+        story.later(3 * SECOND)
+        self.assertEqual(sum(story.relay.may_still_send(number, 0) for number in begun), 1)
+
     def test_late_retries_at_a_build_on_trial_need_requests_of_their_own_time(self) -> None:
         """Guards against retries that use up what requests of a second ago allowed, when no others come."""
         story = self.story_with_trial(cap=1.0)
