Let both soaks use one stand-in of the platform

Cause: the soak with processes that stand still had a second copy of the platform's stand-in and of its rollout state in the relay's configuration.

Change: the stand-in takes its state and keeps its subscribers; that soak's platform only adds the fall of the cap.

--- a/tealsail/lab/soak/relay_process.py
+++ b/tealsail/lab/soak/relay_process.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from .stand_ins import ROLLOUT_STATE, ZONE, Discovery, Platform
+from .stand_ins import ZONE, Discovery, Platform
 from .wire import LOOPBACK, query, read_reply, startup
 
 CHECKOUT = Path(__file__).parent.parent.parent.parent
@@ -195,7 +195,7 @@
             "limits": {"cores": 1.0} | self.limits._asdict(),
             "peer_listen": own,
             "peers": [f"{LOOPBACK}:{port}" for port in self.peers],
-            "rollouts": {"address": f"{LOOPBACK}:{self.platform.port}", "news": ROLLOUT_STATE},
+            "rollouts": {"address": f"{LOOPBACK}:{self.platform.port}", "news": self.platform.state},
             "known": self.discovery.tree(self.discovery.units, True),
             "settings": self.settings | {"fleetSize": len(self.peers), "index": self.index},
         }
--- a/tealsail/lab/soak/stand_ins.py
+++ b/tealsail/lab/soak/stand_ins.py
@@ -113,9 +113,11 @@
 
 
 class Platform:
-    """Tells that the only build is released, and gives a sign of life each second."""
+    """Tells the state of a build, by default that the only one is released, and gives a sign of life each second."""
 
-    def __init__(self) -> None:
+    def __init__(self, state: dict[str, Any] = ROLLOUT_STATE) -> None:
+        self.state = dict(state)
+        self.subscribers: set[asyncio.StreamWriter] = set()
         self.port = 0
 
     async def listen(self) -> asyncio.Server:
@@ -132,10 +134,12 @@
                 outcome = {"result": True} if is_subscription else {"error": {"code": -32602, "message": "STALE"}}
                 self.send(writer, {"id": call["id"]} | outcome)
                 if is_subscription:
-                    self.send(writer, {"method": "stage", "params": ROLLOUT_STATE})
+                    self.send_state(writer)
+                    self.subscribers.add(writer)
         except (ConnectionError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            self.subscribers.discard(writer)
             pings.cancel()
             writer.close()
 
@@ -144,5 +148,8 @@
             await asyncio.sleep(PING_INTERVAL_S)
             self.send(writer, {"method": "ping"})
 
+    def send_state(self, writer: asyncio.StreamWriter) -> None:
+        self.send(writer, {"method": "stage", "params": self.state})
+
     def send(self, writer: asyncio.StreamWriter, tree: dict[str, Any]) -> None:
         writer.write(json.dumps({"jsonrpc": "2.0"} | tree).encode() + b"\n")
--- a/tealsail/lab/stalls/control_plane.py
+++ b/tealsail/lab/stalls/control_plane.py
@@ -4,13 +4,13 @@
 import json
 from typing import Any
 
+from ..soak.stand_ins import Platform
 from ..soak.wire import LOOPBACK
 from .observations import Clock, Observations
 from .plan import BUILD, TRIAL_BUILD, Drain, Plan
 from .units import Unit
 
 CAP = 0.9  # of the build on trial, before its end
-PING_INTERVAL_S = 1.0
 
 
 class Discovery:
@@ -90,50 +90,18 @@
         return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
-class Platform:
-    """The state of the build on trial, whose cap falls to 0 once."""
+class TrialPlatform(Platform):
+    """Tells the state of the build on trial, whose cap falls to 0 once."""
 
     def __init__(self, plan: Plan, clock: Clock, seen: Observations) -> None:
-        self.plan, self.clock, self.seen = plan, clock, seen
         build = TRIAL_BUILD if plan.trial_units else BUILD
-        self.state = {"Revision": build, "Wave": 3, "State": "canary", "MaxShare": CAP, "AgeMs": 600}
-        self.writers: set[asyncio.StreamWriter] = set()
-        self.port = 0
-
-    async def listen(self) -> asyncio.Server:
-        server = await asyncio.start_server(self.serve, LOOPBACK, 0)
-        self.port = server.sockets[0].getsockname()[1]
-        return server
+        super().__init__({"Revision": build, "Wave": 3, "State": "canary", "MaxShare": CAP, "AgeMs": 600})
+        self.plan, self.clock, self.seen = plan, clock, seen
 
     async def end_cap(self) -> None:
         """Lower the cap at its time."""
         await asyncio.sleep(self.plan.cap_ends_after_s)
         self.state["MaxShare"] = 0.0
-        for writer in self.writers:
-            self.send(writer, {"method": "stage", "params": self.state})
+        for writer in self.subscribers:
+            self.send_state(writer)
         self.seen.cap_ended = self.clock.span()
-
-    async def ping(self) -> None:
-        while True:
-            await asyncio.sleep(PING_INTERVAL_S)
-            for writer in self.writers:
-                self.send(writer, {"method": "ping"})
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while line := await reader.readline():
-                call = json.loads(line)
-                is_subscription = call["method"] == "subscribe"
-                outcome = {"result": True} if is_subscription else {"error": {"code": -32602, "message": "STALE"}}
-                self.send(writer, {"id": call["id"]} | outcome)
-                if is_subscription:
-                    self.send(writer, {"method": "stage", "params": self.state})
-                    self.writers.add(writer)
-        except (ConnectionError, ValueError, asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-    def send(self, writer: asyncio.StreamWriter, tree: dict[str, Any]) -> None:
-        writer.write(json.dumps({"jsonrpc": "2.0"} | tree).encode() + b"\n")
--- a/tealsail/lab/stalls/run.py
+++ b/tealsail/lab/stalls/run.py
@@ -14,7 +14,7 @@
 from ..soak.run import compile_program
 from .checks import Finding, findings
 from .clients import Client
-from .control_plane import Discovery, Platform
+from .control_plane import Discovery, TrialPlatform
 from .observations import Clock, Observations, Span
 from .plan import SECONDS, Plan, Stop, draw
 from .units import Unit
@@ -32,11 +32,7 @@
 
 
 class StallRelay(RelayProcess):
-    """A relay that is told of the build on trial."""
-
-    def configuration(self) -> dict:
-        tree = super().configuration()
-        return tree | {"rollouts": tree["rollouts"] | {"news": self.platform.state}}
+    """A relay that stands still for a while."""
 
     async def stand_still(self, stop: Stop, clock: Clock, seen: Observations) -> None:
         """Stop the process for a while."""
@@ -53,9 +49,8 @@
     compile_program()
     clock, seen, chance = Clock(), Observations(), random.Random(plan.seed)
     units = [Unit(number, plan, chance, clock, seen) for number in range(plan.units)]
-    discovery, platform = Discovery(units, clock, seen), Platform(plan, clock, seen)
+    discovery, platform = Discovery(units, clock, seen), TrialPlatform(plan, clock, seen)
     servers = [await each.listen() for each in (*units, discovery, platform)]
-    pinging = asyncio.ensure_future(platform.ping())
     with tempfile.TemporaryDirectory(prefix="stalls-") as folder:
         relay = StallRelay(0, Path(folder), LIMITS, discovery, platform, checkout)
         relay.settings = plan.settings()
@@ -64,7 +59,6 @@
             await play_events(plan, relay, units, discovery, platform, clock, seen)
         finally:
             await relay.kill()
-            pinging.cancel()
             clock.stop()
             for server in servers:
                 server.close()
@@ -77,7 +71,7 @@
     relay: StallRelay,
     units: list[Unit],
     discovery: Discovery,
-    platform: Platform,
+    platform: TrialPlatform,
     clock: Clock,
     seen: Observations,
 ) -> None:
