Make a held query in one copy, not in four

Cause: a large query was put together whole to learn its length, then again as start and end, and joined by the transport.

Change: the greatest length of a query is worked out without making it, and its start is handed over in parts.

--- a/tealsail/net/messages.py
+++ b/tealsail/net/messages.py
@@ -318,6 +318,7 @@
 
 
 QUERY_END = b"\0"  # behind the text of a query
+QUERY_HEAD_BYTES = 5  # before it
 
 
 def query(text: bytes) -> bytes:
--- a/tealsail/net/query_writer.py
+++ b/tealsail/net/query_writer.py
@@ -66,7 +66,7 @@
         self.reactor, self.transport, self.query, self.gate = reactor, transport, query, gate
         self.tells_room = tells_room
         self.progress = Progress.NOT_BEGUN
-        self.start = b""  # to be written when the transport asks for it
+        self.start: tuple[bytes, ...] = ()  # parts that are to be written when the transport asks for them
         self.end: bytes | None = None  # what is left if it can't be made anew; None: `query.end` makes it
         self.waits_since = self.told_at = reactor.seconds()  # `told_at`: when the time to wait in the message was made
         self.timer: Any = None  # of the next check
@@ -84,12 +84,15 @@
             return
         if self.progress == Progress.START_WRITTEN:
             return self.wait()
-        rest = self.rest()
-        if self.has_room(len(rest)):
-            self.send(rest)
+        if self.has_room(self.rest_length()):
+            self.send()
         else:
             self.wait()
 
+    def rest_length(self) -> int:
+        """How many bytes are still to be written, at the most."""
+        return self.query.max_length() if self.progress == Progress.NOT_BEGUN else len(self.rest())
+
     def rest(self) -> bytes:
         """What is still to be written."""
         if self.progress == Progress.NOT_BEGUN:
@@ -125,12 +128,13 @@
         """The query will not be sent."""
         self.gate.on_refused(outcome, self.progress != Progress.NOT_BEGUN)
 
-    def send(self, rest: bytes) -> None:
+    def send(self) -> None:
         """Ask the gate, and write all that is left in the same call."""
         if not self.gate.is_informed():
             return self.check_later(0)
         if not self.is_up_to_date() or not self.gate.may_send():
             return self.refuse("moot")
+        rest = self.rest()
         taken = write_now(self.transport, rest)
         if taken == len(rest):
             self.progress = Progress.COMPLETE
@@ -141,22 +145,22 @@
     def hold(self, rest: bytes, taken: int) -> None:
         """Our kernel had no room for this part."""
         if taken:
-            return self.write_start(b"", rest)
+            return self.write_start((), rest)
         self.check_later(room_check_delay(self.reactor.seconds() - self.waits_since))
 
-    def write_start(self, start: bytes, end: bytes) -> None:
+    def write_start(self, start: tuple[bytes, ...], end: bytes) -> None:
         """Write all but the end, of which the time to wait is made anew if it can be held as it is."""
         self.progress, self.start = Progress.START_WRITTEN, start
         if not start or len(end) > MAX_HELD_BYTES:
-            self.start, self.end, self.told_at = start + end[:-1], end[-1:], self.reactor.seconds()
+            self.start, self.end, self.told_at = (*start, end[:-1]), end[-1:], self.reactor.seconds()
         self.check_later(room_check_delay(0))
         self.transport.registerProducer(self, False)
 
     def resumeProducing(self) -> None:
         """Called when the transport holds nothing: at once, and when our kernel has all of the start."""
         if self.start:
-            start, self.start = self.start, b""
-            self.transport.write(start)
+            start, self.start = self.start, ()
+            self.transport.writeSequence(start)
         else:
             self.transport.unregisterProducer()
             self.progress = Progress.END_HELD
--- a/tealsail/net/statements.py
+++ b/tealsail/net/statements.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from .messages import QUERY_END, query_head
+from .messages import QUERY_END, QUERY_HEAD_BYTES, query_head
 
 # Possessive, since a pattern that may come back keeps some hundred bytes for each character of the literal.
 LITERAL = rb"'((?:[^']++|'')*+)'"
@@ -93,6 +93,9 @@
     return (end - start) % 2 == 0 and bool(HEX_VALUE.fullmatch(text, start, end))
 
 
+MAX_WAIT_DIGITS = 10  # of a time to wait in milliseconds: `read` takes none of 1e9 or more
+
+
 class UnitQuery:
     """A statement as the query message for a unit, in which only the time to wait is replaced.
 
@@ -107,23 +110,35 @@
         self.statement, self.wait_left = statement, wait_left
         self.digits = 0  # of the time to wait; 0 until it was first made
 
+    def max_length(self) -> int:
+        """How many bytes the message has at the most."""
+        before, after = self.statement.text_before_wait, self.statement.text_after_wait
+        return QUERY_HEAD_BYTES + len(before) + MAX_WAIT_DIGITS + len(after) + len(QUERY_END)
+
     def whole(self) -> bytes:
         """The message, with the time to wait from now on."""
-        end = self.end()
-        return self.start() + end
+        wait = self.wait_digits()
+        return b"".join((self.head(), self.statement.text_before_wait, wait, self.statement.text_after_wait, QUERY_END))
 
-    def start(self) -> bytes:
-        """The message up to the time to wait."""
-        digits = self.digits or len(b"%d" % self.wait_left())
-        before, after = self.statement.text_before_wait, self.statement.text_after_wait
-        self.digits = digits
-        return query_head(len(before) + digits + len(after)) + before
+    def start(self) -> tuple[bytes, ...]:
+        """The message up to the time to wait, in parts."""
+        self.digits = self.digits or len(self.wait_digits())
+        return self.head(), self.statement.text_before_wait
 
     def end(self) -> bytes:
         """The rest of the message, with the time to wait from now on."""
+        return self.wait_digits() + self.statement.text_after_wait + QUERY_END
+
+    def head(self) -> bytes:
+        """What comes before the text."""
+        before, after = self.statement.text_before_wait, self.statement.text_after_wait
+        return query_head(len(before) + self.digits + len(after))
+
+    def wait_digits(self) -> bytes:
+        """The time to wait from now on, in as many digits as it had at first."""
         wait = b"%0*d" % (self.digits, self.wait_left())
         self.digits = len(wait)
-        return wait + self.statement.text_after_wait + QUERY_END
+        return wait
 
     def text(self) -> bytes:
         """The text of the query alone."""
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -77,6 +77,13 @@
         )
         self.assertEqual(query_for_unit(statement, 73), messages.query(INSERT.replace(b"d=480", b"d=73")))
 
+    # Guards against a query that is taken to fit into a window, and is longer.
+    def test_no_query_is_longer_than_its_stated_length(self) -> None:
+        for wait in (1, 480, 10**9):
+            query = statements.UnitQuery(statements.read(INSERT), lambda wait=wait: wait)
+            self.assertIn(query.max_length() - len(query.whole()), range(statements.MAX_WAIT_DIGITS))
+            self.assertEqual(b"".join(query.start()) + query.end(), query.whole())
+
     def test_quotes_repeat_field_and_comment_inside_a_value(self) -> None:
         text = b"SELECT content FROM kv WHERE name = 'o''clock /* d=1 */' /* id=1,c=a,t=b,d=0.5,r=1 */"
         statement = statements.read(text)
